--- /dev/null
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -0,0 +1,44 @@
+#include "eventcatalogue.h"
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+
+namespace utils {
+
+namespace {
+
+using enum severity;
+
+constexpr std::array catalogue {
+    event_info { event::SoftAssert, Error, "soft_assert", "An expectation of the code does not hold" },
+    event_info { event::Started, Info, "started", "The process serves" },
+    event_info { event::Stopping, Info, "stopping", "The process leaves once its requests are done" },
+    event_info { event::Stopped, Info, "stopped", "The process has left" },
+    event_info { event::SettingsInvalid, Error, "settings_invalid", "The settings have errors" },
+    event_info { event::ListenFailed, Error, "listen_failed", "An address cannot be listened on" },
+    event_info {
+        event::PeerKeyRejected, Warning, "peer_key_rejected", "Bytes from a peer fail authentication" },
+    event_info { event::ConfigurationInForce, Info, "configuration_in_force", "A revision is in force here" },
+    event_info { event::RequestDone, Info, "request_done", "A request has its whole answer" },
+    event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
+    event_info { event::ServerFailure, Warning, "server_failure", "A backend server failed a request" },
+    event_info { event::PlatformFailure, Warning, "platform_failure", "A call to the platform failed" },
+};
+
+} // namespace
+
+std::span<const event_info> eventCatalogue()
+{
+    return catalogue;
+}
+
+const event_info& infoOf(event id)
+{
+    const auto row = std::ranges::find(catalogue, id, &event_info::id);
+    if (row == catalogue.end())
+        throw std::logic_error("event without a row in the catalogue");
+    return *row;
+}
+
+} // namespace utils
--- /dev/null
+++ b/src/libs/utils/eventcatalogue.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace utils {
+
+enum class severity {
+    Debug,
+    Info,
+    Warning,
+    Error
+};
+
+/// Every event that the programs log, by number. docs/EVENTS.md explains each; a test compares the two.
+/// Numbers: 1000 process, 2000 membership, 3000 configuration, 4000 requests, 5000 operations and drafts,
+/// 6000 backend servers, 7000 platform. A number is never used again.
+enum class event : int {
+    SoftAssert = 1001,
+    Started = 1002,
+    Stopping = 1003,
+    Stopped = 1004,
+    SettingsInvalid = 1005,
+    ListenFailed = 1006,
+    PeerKeyRejected = 2004,
+    ConfigurationInForce = 3001,
+    RequestDone = 4001,
+    RequestRefused = 4002,
+    ServerFailure = 6001,
+    PlatformFailure = 7001,
+};
+
+/// A row of the catalogue.
+struct event_info {
+    event id;
+    severity level;
+    std::string_view name;
+    std::string_view message;
+};
+
+/// All rows, by number. Thread safe.
+std::span<const event_info> eventCatalogue();
+/// The row of an event. Precondition: it has one. Thread safe.
+const event_info& infoOf(event id);
+
+} // namespace utils
