Read, check and write the operators' document and the process settings

Cause: a daemon and the operators' tool need the document and the settings before anything can be applied. Ruled out: yaml-cpp's own conversions; they stop at the first wrong field and know no unknown ones. Change: yaml_object reads a mapping against a schema and lists every problem with line, column, path and what was expected; documentchecks finds what no single section shows; documentwriter gives canonical texts by section.

--- /dev/null
+++ b/src/libs/config/documentparser.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "document.h"
+#include "problem.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace config {
+
+/// A document and all that is wrong with it; only a document without problems may come into force.
+struct parsed_document {
+    document value;
+    std::vector<problem> problems;
+};
+
+/// Canonical YAML texts by section name ("teams/counter-app", "pools/press", "operators/admin").
+using section_texts = std::map<std::string, std::string>;
+
+/// Reads the whole document and checks it: schema, unknown fields, references. Every problem is listed
+/// with its place. Never throws on any text. Thread safe.
+parsed_document parseDocument(const std::string& yaml, const std::string& file);
+
+/// Reads the document without the checks across sections: for a file that holds only some of them.
+/// Thread safe.
+parsed_document parsePartialDocument(const std::string& yaml, const std::string& file);
+
+/// Puts a document together from its sections and checks it as a whole; a problem's file is the
+/// section's name. Thread safe.
+parsed_document parseSections(const section_texts& sections, utils::config_revision revision);
+
+} // namespace config
