--- /dev/null
+++ b/tests/auto/operations/fakekv.cpp
@@ -0,0 +1,118 @@
+#include "fakekv.h"
+
+#include <algorithm>
+
+namespace {
+
+bool isWrite(const platform::kv_operation& operation)
+{
+    return !std::holds_alternative<platform::kv_get>(operation);
+}
+
+platform::kv_reply without(platform::kv_status status)
+{
+    platform::kv_reply reply;
+    reply.status = status;
+    return reply;
+}
+
+} // namespace
+
+void fake_kv::call(const platform::kv_transaction& transaction, const reply_handler& onReply)
+{
+    const auto unknownLater = [this, onReply] {
+        m_time.after(callTimeout, [onReply] { onReply(without(platform::kv_status::Unknown)); });
+    };
+    switch (fate(transaction)) {
+    case kv_fate::NotSent:
+        m_time.after({}, [onReply] { onReply(without(platform::kv_status::NotSent)); });
+        return;
+    case kv_fate::RequestLost:
+        return unknownLater();
+    case kv_fate::AnswerLost:
+        m_time.after(delay, [this, transaction] { apply(transaction); });
+        return unknownLater();
+    case kv_fate::LateEffect:
+        m_time.after(lateEffectDelay, [this, transaction] { apply(transaction); });
+        return unknownLater();
+    case kv_fate::Slow:
+        m_time.after(slowDelay / 2, [this, transaction] { apply(transaction); });
+        return unknownLater();
+    case kv_fate::Answered:
+        break;
+    }
+    m_time.after(delay, [this, transaction, onReply] {
+        const platform::kv_reply reply = apply(transaction);
+        m_time.after(delay, [onReply, reply] { onReply(reply); });
+    });
+}
+
+platform::kv_reply fake_kv::apply(const platform::kv_transaction& transaction)
+{
+    ++m_calls;
+    platform::kv_reply reply;
+    reply.status = platform::kv_status::Done;
+    reply.succeeded
+        = std::ranges::all_of(transaction.compares, [this](const auto& compare) { return holds(compare); });
+    const auto& branch = reply.succeeded ? transaction.onSuccess : transaction.onFailure;
+    if (std::ranges::any_of(branch, isWrite)) {
+        ++m_revision;
+        ++m_writes;
+    }
+    for (const platform::kv_operation& operation : branch)
+        run(operation, reply);
+    reply.revision = m_revision;
+    return reply;
+}
+
+bool fake_kv::holds(const platform::kv_compare& compare) const
+{
+    const platform::kv_entry* entry = find(compare.key);
+    return compare.modRevision == (entry == nullptr ? 0 : entry->modRevision);
+}
+
+void fake_kv::run(const platform::kv_operation& operation, platform::kv_reply& reply)
+{
+    if (const auto* put = std::get_if<platform::kv_put>(&operation)) {
+        platform::kv_entry& entry = m_entries[put->key];
+        if (entry.createRevision == 0)
+            entry.createRevision = m_revision;
+        entry.key = put->key;
+        entry.value = put->value;
+        entry.modRevision = m_revision;
+        entry.lease = put->lease;
+        return;
+    }
+    if (const auto* removal = std::get_if<platform::kv_delete>(&operation)) {
+        m_entries.erase(removal->key);
+        return;
+    }
+    const auto& get = std::get<platform::kv_get>(operation);
+    if (get.rangeEnd.empty()) {
+        if (const platform::kv_entry* entry = find(get.key))
+            reply.entries.push_back(*entry);
+        return;
+    }
+    for (auto it = m_entries.lower_bound(get.key); it != m_entries.end() && it->first < get.rangeEnd; ++it) {
+        if (get.limit == 0 || static_cast<std::int64_t>(reply.entries.size()) < get.limit)
+            reply.entries.push_back(it->second);
+    }
+}
+
+std::int64_t fake_kv::grantLease(utils::duration timeToLive)
+{
+    const std::int64_t lease = ++m_lastLease;
+    m_time.after(timeToLive, [this, lease] { endLease(lease); });
+    return lease;
+}
+
+void fake_kv::endLease(std::int64_t lease)
+{
+    std::erase_if(m_entries, [lease](const auto& item) { return item.second.lease == lease; });
+}
+
+const platform::kv_entry* fake_kv::find(const std::string& key) const
+{
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
