--- /dev/null
+++ b/src/libs/wire/shortserialization.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cereal/cereal.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace wire::detail {
+
+/// Longest text or list of a datagram: the length is one byte, so hostile bytes cannot make the decoder
+/// allocate more than a datagram holds.
+inline constexpr std::size_t maxShortLength = 255;
+
+template <class Archive> void saveLength(Archive& archive, std::size_t length)
+{
+    if (length > maxShortLength)
+        throw std::length_error("too long for a datagram");
+    archive(static_cast<std::uint8_t>(length));
+}
+
+template <class Archive> void serializeShort(Archive& archive, std::string& text)
+{
+    if constexpr (Archive::is_saving::value) {
+        saveLength(archive, text.size());
+        archive(cereal::binary_data(text.data(), text.size()));
+    } else {
+        std::uint8_t length = 0;
+        archive(length);
+        text.resize(length);
+        archive(cereal::binary_data(text.data(), text.size()));
+    }
+}
+
+template <class Archive, class Item> void serializeShort(Archive& archive, std::vector<Item>& list)
+{
+    if constexpr (Archive::is_saving::value) {
+        saveLength(archive, list.size());
+        for (Item& item : list)
+            archive(item);
+    } else {
+        std::uint8_t length = 0;
+        archive(length);
+        list.clear();
+        for (std::uint8_t i = 0; i < length; ++i)
+            archive(list.emplace_back());
+    }
+}
+
+template <class Archive, class Enum> void serializeEnum(Archive& archive, Enum& value)
+{
+    auto byte = static_cast<std::uint8_t>(value);
+    archive(byte);
+    if (byte >= static_cast<std::uint8_t>(Enum::Count_))
+        throw std::out_of_range("unknown value");
+    value = static_cast<Enum>(byte);
+}
+
+} // namespace wire::detail
