--- /dev/null
+++ b/src/libs/decisions/loadbound.cpp
@@ -0,0 +1,25 @@
+#include "loadbound.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace decisions {
+
+unsigned boundedLoad(double multiple, unsigned slots, const mean_load& mean)
+{
+    if (mean.totalSlots == 0)
+        return 1;
+    constexpr double epsilon = 1e-9; // sums of loads divided by slots are off by less
+    const double perSlot = mean.perSlot + 1.0 / mean.totalSlots;
+    const double expected = perSlot * slots;
+    const double byMultiple = std::floor((multiple * expected) + epsilon);
+    const double byRounding = std::ceil(expected - epsilon);
+    return static_cast<unsigned>(std::max({ 1.0, byMultiple, byRounding }));
+}
+
+double multipleFor(const load_bound& bound, bool holdsCache)
+{
+    return holdsCache ? bound.multiple : 1 + ((bound.multiple - 1) * bound.newChatShare);
+}
+
+} // namespace decisions
--- /dev/null
+++ b/src/libs/decisions/loadview.cpp
@@ -0,0 +1,85 @@
+#include "loadview.h"
+
+#include <algorithm>
+
+namespace decisions {
+
+namespace {
+
+/// Sums of one pass over the entries.
+struct load_sums {
+    std::size_t servers = 0;
+    double inFlight = 0;
+    double slots = 0;
+
+    void add(const load_entry& entry)
+    {
+        ++servers;
+        inFlight += entry.inFlight;
+        slots += entry.slots;
+    }
+};
+
+} // namespace
+
+void load_view::merge(const load_entry& entry)
+{
+    const auto [found, isNew] = m_index.try_emplace(entry.server, m_entries.size());
+    if (isNew) {
+        m_entries.push_back(entry);
+        return;
+    }
+    auto& known = m_entries[found->second];
+    if (entry.countedAt >= known.countedAt)
+        known = entry;
+}
+
+void load_view::remove(const utils::server_id& server)
+{
+    const auto found = m_index.find(server);
+    if (found == m_index.end())
+        return;
+    const auto place = found->second;
+    m_index.erase(found);
+    if (place + 1 != m_entries.size()) {
+        m_entries[place] = m_entries.back();
+        m_index[m_entries[place].server] = place;
+    }
+    m_entries.pop_back();
+}
+
+mean_load load_view::mean(utils::time_point now) const
+{
+    load_sums young;
+    load_sums living;
+    for (const auto& entry : m_entries) {
+        const auto age = now - entry.countedAt;
+        if (age > entryLife)
+            continue;
+        living.add(entry);
+        if (age <= youngAge)
+            young.add(entry);
+    }
+    if (living.slots <= 0)
+        return {};
+    const auto& used = young.servers >= enoughYoung ? young : living;
+    return { used.inFlight / used.slots, static_cast<unsigned>(living.slots) };
+}
+
+std::vector<load_entry> load_view::youngest(std::size_t limit) const
+{
+    std::vector<load_entry> entries = m_entries;
+    const auto count = std::min(limit, entries.size());
+    std::partial_sort(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(count), entries.end(),
+        [](const auto& a, const auto& b) { return a.countedAt > b.countedAt; });
+    entries.resize(count);
+    return entries;
+}
+
+const load_entry* load_view::find(const utils::server_id& server) const
+{
+    const auto found = m_index.find(server);
+    return found == m_index.end() ? nullptr : &m_entries[found->second];
+}
+
+} // namespace decisions
--- /dev/null
+++ b/src/libs/decisions/loadview.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "loadbound.h"
+
+#include "utils/ids.h"
+#include "utils/time.h"
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+namespace decisions {
+
+/// Load of one backend server as its home counted it.
+struct load_entry {
+    utils::server_id server;
+    unsigned inFlight = 0;
+    unsigned slots = 1;
+    utils::time_point countedAt; ///< by the reader's clock: time of arrival less the age that it came with
+};
+
+/// What one node knows of the loads of a pool's servers: its own counts, digests that arrive late, and the
+/// loads named in refusals. Keyed by server, the youngest entry wins, so that two homes of one server during
+/// a handover are not counted twice. Answers surges and lag: the mean is taken over young entries where there
+/// are enough of them, so its lag does not grow with the fleet (a digest round carries a fixed number of
+/// entries); with all entries a fleet of 600 servers would compare against loads of ten and more seconds ago.
+/// Not thread safe.
+class load_view {
+public:
+    /// Takes an entry unless a younger one of the server is known.
+    void merge(const load_entry& entry);
+    /// Forgets a server that left the pool.
+    void remove(const utils::server_id& server);
+    /// The pool's mean load; entries older than `entryLife` no longer count.
+    mean_load mean(utils::time_point now) const;
+    /// The `limit` youngest entries, to be sent in a digest or along with a request.
+    std::vector<load_entry> youngest(std::size_t limit) const;
+    /// The entry of a server, or null.
+    const load_entry* find(const utils::server_id& server) const;
+    std::size_t size() const { return m_entries.size(); }
+
+    /// A server not heard of for so long has no home or is gone: its load says nothing.
+    static constexpr utils::duration entryLife = std::chrono::seconds(30);
+    /// Young enough to follow a surge: a few digest rounds of a second.
+    static constexpr utils::duration youngAge = std::chrono::seconds(3);
+    /// So many servers give the mean to about 2 % when loads spread by 15 %.
+    static constexpr std::size_t enoughYoung = 64;
+
+private:
+    std::vector<load_entry> m_entries;
+    std::unordered_map<utils::server_id, std::size_t> m_index;
+};
+
+} // namespace decisions
--- /dev/null
+++ b/tests/auto/decisions/tst_placementranking.cpp
@@ -0,0 +1,154 @@
+#include "decisions/loadbound.h"
+#include "decisions/rampup.h"
+#include "decisions/ranking.h"
+#include "decisions/spillmemory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <string>
+#include <vector>
+
+using namespace decisions;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t chatCount = 20'000;
+
+std::vector<placement_server> makeServers(std::size_t count)
+{
+    std::vector<placement_server> servers(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        servers[i].id = utils::server_id("engine-" + std::to_string(i));
+        servers[i].slots = 32;
+    }
+    return servers;
+}
+
+utils::server_id anchorOf(std::uint64_t chat, const std::vector<placement_server>& servers)
+{
+    const auto order = rankServers(chat, servers, 1);
+    return order.empty() ? utils::server_id() : servers[order.front()].id;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placementranking)
+
+BOOST_AUTO_TEST_CASE(ranksAlikeInWhateverOrderANodeListsTheServers)
+{
+    auto servers = makeServers(12);
+    auto reversed = servers;
+    std::ranges::reverse(reversed);
+    for (std::uint64_t chat = 0; chat < 500; ++chat)
+        BOOST_TEST(anchorOf(chat, servers) == anchorOf(chat, reversed));
+}
+
+// A backend server is drained while chats keep returning. Callers see no error: from the first request after
+// the document's change no chat ranks the leaving server, and only its own chats move.
+BOOST_AUTO_TEST_CASE(aLeavingServerIsOutAtOnceAndOnlyItsChatsMove)
+{
+    const auto before = makeServers(12);
+    auto after = before;
+    after[3].isLeaving = true;
+    for (std::uint64_t chat = 0; chat < chatCount; ++chat) {
+        const auto was = anchorOf(chat, before);
+        const auto is = anchorOf(chat, after);
+        BOOST_REQUIRE(is != before[3].id);
+        BOOST_REQUIRE((was == before[3].id || was == is));
+        const auto whole = rankServers(chat, after, after.size());
+        BOOST_REQUIRE(std::ranges::find(whole, 3U) == whole.end());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(chatsSpreadByWeight)
+{
+    auto servers = makeServers(3);
+    servers[0].slots = 64;
+    servers[1].rampUp = 0.5;
+    std::map<std::string, double> share;
+    for (std::uint64_t chat = 0; chat < chatCount; ++chat)
+        share[anchorOf(chat, servers).str()] += 1.0 / chatCount;
+    BOOST_TEST(share["engine-0"] == 64.0 / 112, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(share["engine-1"] == 16.0 / 112, boost::test_tools::tolerance(0.08));
+    BOOST_TEST(share["engine-2"] == 32.0 / 112, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_CASE(aJoiningServerGetsItsShareInStepsAndAFlapStartsAnew)
+{
+    const utils::time_point joined { 1h };
+    BOOST_TEST(rampUpWeight(joined, joined) == 0.1);
+    BOOST_TEST(rampUpWeight(joined, joined + 30s) == 0.55);
+    BOOST_TEST(rampUpWeight(joined, joined + 60s) == 1.0);
+    BOOST_TEST(rampUpWeight(joined + 50s, joined + 60s) < 0.3);
+}
+
+// Ten requests arrive at five idle servers whose bound is 1.1. Taken to the letter, 1.1 x mean holds
+// no second request until the mean is 10, so that the fleet would stop at one request a server.
+BOOST_AUTO_TEST_CASE(aSmallBoundStillLetsAnIdleFleetFill)
+{
+    constexpr unsigned servers = 5;
+    constexpr unsigned slots = 32;
+    constexpr double bound = 1.1;
+    std::vector<unsigned> load(servers, 0);
+    for (unsigned total = 0; total < servers * slots; ++total) {
+        const mean_load mean { static_cast<double>(total) / (servers * slots), servers * slots };
+        auto least = std::ranges::min_element(load);
+        BOOST_REQUIRE(*least + 1 <= boundedLoad(bound, slots, mean));
+        ++*least;
+        const double meanAfter = static_cast<double>(total + 1) / servers;
+        const unsigned most = *std::ranges::max_element(load);
+        BOOST_REQUIRE(most <= std::max(bound * meanAfter, std::ceil(meanAfter)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aBoundIsNeverAboveTheMultipleOrTheNextWholeRequest)
+{
+    for (unsigned total = 0; total < 400; ++total) {
+        for (const double multiple : { 1.05, 1.1, 1.25, 2.0 }) {
+            const mean_load mean { total / 384.0, 384 };
+            const double expected = (total + 1) / 384.0 * 32;
+            BOOST_TEST(
+                boundedLoad(multiple, 32, mean) <= std::max(multiple * expected, std::ceil(expected)) + 1e-9);
+        }
+    }
+    BOOST_TEST(boundedLoad(1.25, 32, {}) == 1U);
+}
+
+// A chat's anchor was full, so the chat ran on another server. When the caller comes back minutes later
+// through any node, the anchor's home has to name the server that holds the prefix.
+BOOST_AUTO_TEST_CASE(aSpilledChatIsFoundAgainUntilItExpires)
+{
+    const utils::time_point start { 1h };
+    spill_memory memory({ .capacity = 3, .life = 1h });
+    const utils::server_id other("engine-7");
+    memory.remember(1, { other, 9000 }, start);
+    BOOST_REQUIRE(memory.find(1, start + 59min).has_value());
+    BOOST_TEST(memory.find(1, start + 59min)->server == other);
+    BOOST_TEST(memory.find(1, start + 59min)->prefixTokens == 9000U);
+    BOOST_TEST(!memory.find(1, start + 61min).has_value());
+    memory.expire(start + 61min);
+    BOOST_TEST(memory.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aFullMemoryForgetsTheChatUnusedForLongest)
+{
+    const utils::time_point start { 1h };
+    spill_memory memory({ .capacity = 2, .life = 1h });
+    memory.remember(1, { utils::server_id("a"), 1 }, start);
+    memory.remember(2, { utils::server_id("b"), 1 }, start + 1s);
+    memory.remember(1, { utils::server_id("c"), 1 }, start + 2s);
+    memory.remember(3, { utils::server_id("a"), 1 }, start + 3s);
+    BOOST_TEST(!memory.find(2, start + 4s).has_value());
+    BOOST_TEST(memory.find(1, start + 4s)->server == utils::server_id("c"));
+    memory.forgetServer(utils::server_id("c"));
+    BOOST_TEST(!memory.find(1, start + 4s).has_value());
+    memory.moved(3, utils::server_id("d"));
+    BOOST_TEST(memory.find(3, start + 4s)->server == utils::server_id("d"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
