--- /dev/null
+++ b/src/libs/decisions/servicerate.cpp
@@ -0,0 +1,67 @@
+#include "servicerate.h"
+
+#include <algorithm>
+
+namespace decisions {
+
+namespace {
+
+// A tenth: some ten finished runs carry the estimate over, one odd run does not.
+constexpr double averaging = 0.1;
+constexpr double leastSlowdown = 0.05;
+constexpr double leastWork = 1e-6;
+
+double ratio(utils::duration measured, utils::duration expected)
+{
+    return utils::toSeconds(measured) / std::max(utils::toSeconds(expected), leastWork);
+}
+
+} // namespace
+
+void service_rate::started(entry_id id, utils::duration expectedWork, utils::time_point now)
+{
+    m_running[id] = { expectedWork, now };
+}
+
+void service_rate::finished(entry_id id, utils::time_point now, bool isWhole)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    const double measured = ratio(now - found->second.startedAt, found->second.expected);
+    m_running.erase(found);
+    // A run that was cut tells only that it would have taken at least so long.
+    if (isWhole || measured > m_slowdown)
+        m_slowdown += averaging * (measured - m_slowdown);
+    m_slowdown = std::max(m_slowdown, leastSlowdown);
+}
+
+double service_rate::runningSlowdown(utils::time_point now) const
+{
+    if (m_running.empty())
+        return 0;
+    double sum = 0;
+    for (const auto& [id, entry] : m_running)
+        sum += ratio(now - entry.startedAt, entry.expected);
+    return sum / static_cast<double>(m_running.size());
+}
+
+double service_rate::slowdown(utils::time_point now) const
+{
+    return std::max(m_slowdown, runningSlowdown(now));
+}
+
+std::vector<utils::duration> service_rate::remaining(utils::time_point now) const
+{
+    const double factor = slowdown(now);
+    std::vector<utils::duration> result;
+    result.reserve(m_running.size());
+    for (const auto& [id, entry] : m_running) {
+        const double total = utils::toSeconds(entry.expected) * factor;
+        const double left = total - utils::toSeconds(now - entry.startedAt);
+        result.push_back(utils::fromSeconds(std::max(left, 0.0)));
+    }
+    return result;
+}
+
+} // namespace decisions
--- /dev/null
+++ b/src/libs/decisions/teamlimiter.cpp
@@ -0,0 +1,264 @@
+#include "teamlimiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace decisions {
+
+namespace {
+
+constexpr double averaging = 0.5;
+constexpr double leastDemand = 0.01;
+constexpr utils::duration returnWindow = std::chrono::seconds(2);
+constexpr utils::duration longestRetryAfter = std::chrono::seconds(60);
+constexpr utils::duration whenSlotsAreOut = std::chrono::seconds(1);
+// A request that waits for a lump may ask so much sooner than one that tops up.
+constexpr int urgentFactor = 10;
+
+bool isLimited(const fleet_limit& limit)
+{
+    return limit.requestsPerSecond > 0 || limit.concurrent > 0;
+}
+
+limit_answer refuseFor(utils::duration base, std::uint64_t hash)
+{
+    const auto wait = std::clamp(base, utils::duration::zero(), longestRetryAfter);
+    return { limit_verdict::Refused,
+        { utils::error_kind::RateLimited, spreadRetryAfter(wait, returnWindow, hash) } };
+}
+
+} // namespace
+
+team_limiter::team_limiter(
+    utils::node_id self, const team_limiter_limits& limits, std::uint64_t firstSequence)
+    : m_self(std::move(self))
+    , m_limits(limits)
+    , m_nextSequence(firstSequence)
+{
+}
+
+void team_limiter::setLimit(const utils::team_id& team, const fleet_limit& limit)
+{
+    m_teams[team].limit = limit;
+}
+
+void team_limiter::setMembers(const std::vector<utils::node_id>& members)
+{
+    m_members = members;
+}
+
+limit_answer team_limiter::admit(const utils::team_id& team, std::uint64_t hash, utils::time_point now)
+{
+    team_state& state = m_teams[team];
+    if (!isLimited(state.limit)) {
+        ++state.running;
+        return {};
+    }
+    state.lastUse = now;
+    lapse(state, now);
+    const limit_answer answer = isOnStaticShare(state, now) ? admitFromShare(team, state, hash, now)
+                                                            : admitFromLump(state, hash, now);
+    if (answer.verdict == limit_verdict::AwaitLump)
+        ++state.waiting;
+    else
+        ++state.asked;
+    if (answer.verdict == limit_verdict::Admitted)
+        ++state.running;
+    return answer;
+}
+
+void team_limiter::finished(const utils::team_id& team, utils::time_point now)
+{
+    const auto found = m_teams.find(team);
+    if (found == m_teams.end() || found->second.running == 0)
+        return;
+    --found->second.running;
+    found->second.lastUse = now;
+}
+
+std::vector<lump_request> team_limiter::poll(utils::time_point now)
+{
+    std::vector<lump_request> result;
+    for (auto& [team, state] : m_teams) {
+        if (!isLimited(state.limit))
+            continue;
+        lapse(state, now);
+        if (!wantsToAsk(state, now))
+            continue;
+        if (!state.isAnswered)
+            ++state.unanswered;
+        if (state.unanswered >= m_limits.unanswered)
+            fallBack(state, now);
+        result.push_back(makeRequest(team, state, now));
+    }
+    return result;
+}
+
+void team_limiter::apply(const lump_grant& grant, utils::time_point now)
+{
+    const auto found = m_teams.find(grant.team);
+    if (found == m_teams.end())
+        return;
+    team_state& state = found->second;
+    // An older grant must not count: the home has credited it back when it saw the later request.
+    if (state.isAnswered || !state.sentAt || grant.sequence != state.sentSequence)
+        return;
+    state.isAnswered = true;
+    if (!grant.isHome) {
+        fallBack(state, now);
+        return;
+    }
+    state.unanswered = 0;
+    state.staticSince.reset();
+    state.appliedSequence = grant.sequence;
+    state.tokens += grant.requests;
+    state.concurrent = grant.concurrent;
+    state.expiry = grant.expiresIn;
+    state.expiresAt = *state.sentAt + grant.expiresIn;
+    const bool lacksRate = state.limit.requestsPerSecond > 0 && state.tokens < state.waitingAtSend;
+    const bool lacksSlots
+        = state.limit.concurrent > 0 && state.concurrent < state.running + state.waitingAtSend;
+    if (lacksRate || lacksSlots)
+        state.deniedUntil = now + std::max(grant.retryAfter, m_limits.askEvery);
+}
+
+void team_limiter::homeMoved(const utils::team_id& team)
+{
+    team_state& state = m_teams[team];
+    state.sentAt.reset();
+    state.isAnswered = true;
+    state.unanswered = 0;
+    state.deniedUntil = {};
+}
+
+unsigned team_limiter::running(const utils::team_id& team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? 0 : found->second.running;
+}
+
+void team_limiter::lapse(team_state& state, utils::time_point now)
+{
+    if (now < state.expiresAt)
+        return;
+    state.tokens = 0;
+    state.concurrent = 0;
+}
+
+bool team_limiter::isOnStaticShare(const team_state& state, utils::time_point now)
+{
+    return state.staticSince && now >= *state.staticSince;
+}
+
+bool team_limiter::isHolding(const team_state& state)
+{
+    return state.tokens > 0 || state.concurrent > 0 || state.running > 0;
+}
+
+void team_limiter::fallBack(team_state& state, utils::time_point now)
+{
+    if (state.staticSince)
+        return;
+    state.staticSince = std::max(now, state.expiresAt);
+    state.staticRefilledAt = *state.staticSince;
+    state.staticTokens = 0;
+}
+
+limit_answer team_limiter::admitFromLump(team_state& state, std::uint64_t hash, utils::time_point now)
+{
+    const bool isRateFree = state.limit.requestsPerSecond <= 0 || state.tokens > 0;
+    const bool isSlotFree = state.limit.concurrent == 0 || state.running < state.concurrent;
+    if (isRateFree && isSlotFree) {
+        if (state.tokens > 0)
+            --state.tokens;
+        return {};
+    }
+    if (now < state.deniedUntil)
+        return refuseFor(state.deniedUntil - now, hash);
+    return { limit_verdict::AwaitLump, {} };
+}
+
+limit_answer team_limiter::admitFromShare(
+    const utils::team_id& team, team_state& state, std::uint64_t hash, utils::time_point now) const
+{
+    const static_share share = staticShareOf(team, state.limit, m_self, m_members);
+    const double rate = share.requestsPerSecond;
+    const double most = std::max(rate, 1.0);
+    const double earned = rate * utils::toSeconds(now - state.staticRefilledAt);
+    state.staticTokens = std::min(state.staticTokens + earned, most);
+    state.staticRefilledAt = now;
+    if (state.limit.concurrent > 0 && state.running >= share.concurrent)
+        return refuseFor(whenSlotsAreOut, hash);
+    if (state.limit.requestsPerSecond <= 0)
+        return {};
+    if (state.staticTokens < 1) {
+        const bool isShareNone = rate <= 0;
+        return refuseFor(
+            isShareNone ? longestRetryAfter : utils::fromSeconds((1 - state.staticTokens) / rate), hash);
+    }
+    state.staticTokens -= 1;
+    return {};
+}
+
+bool team_limiter::wantsToAsk(const team_state& state, utils::time_point now) const
+{
+    if (!state.isAnswered)
+        return now >= *state.sentAt + m_limits.answerWithin;
+    if (now < state.deniedUntil)
+        return false;
+    const bool isWaiting = state.waiting > 0 && !isOnStaticShare(state, now);
+    const utils::duration gap = isWaiting ? m_limits.askEvery / urgentFactor : m_limits.askEvery;
+    if (state.sentAt && now < *state.sentAt + gap)
+        return false;
+    const bool isRenewalDue = isHolding(state) && now >= state.expiresAt - state.expiry / 2;
+    const bool isLow
+        = state.limit.requestsPerSecond > 0 && state.asked > 0 && state.tokens < neededRequests(state) / 2;
+    const bool isShareInUse = state.staticSince && now < state.lastUse + m_limits.forgetAfter;
+    return isWaiting || isRenewalDue || isLow || isShareInUse;
+}
+
+void team_limiter::measureDemand(team_state& state, utils::time_point now) const
+{
+    const double elapsed
+        = std::max(utils::toSeconds(now - state.demandAt), utils::toSeconds(m_limits.askEvery));
+    const double current = state.asked / elapsed;
+    state.demand += averaging * (current - state.demand);
+    if (state.demand < leastDemand)
+        state.demand = 0;
+    state.demandAt = now;
+    state.asked = 0;
+}
+
+std::uint32_t team_limiter::neededRequests(const team_state& state) const
+{
+    return static_cast<std::uint32_t>(std::ceil(state.demand * utils::toSeconds(m_limits.horizon)));
+}
+
+lump_request team_limiter::makeRequest(const utils::team_id& team, team_state& state, utils::time_point now)
+{
+    measureDemand(state, now);
+    lump_request request;
+    request.team = team;
+    request.borrower = m_self;
+    request.sequence = m_nextSequence++;
+    request.appliedSequence = state.appliedSequence;
+    const std::uint32_t needed = neededRequests(state) + state.waiting;
+    if (state.limit.requestsPerSecond > 0) {
+        request.wantedRequests = needed > state.tokens ? needed - state.tokens : 0;
+        request.returnedRequests = state.tokens > 2 * needed ? state.tokens - needed : 0;
+        state.tokens -= request.returnedRequests;
+    }
+    const std::uint32_t spare = state.demand > 0 ? 1 + state.running / 4 : 0;
+    request.wantedConcurrent = state.limit.concurrent > 0 ? state.running + state.waiting + spare : 0;
+    // Lowered before the request goes out: the home may lend the rest to others as soon as it reads this.
+    state.concurrent = std::min(state.concurrent, request.wantedConcurrent);
+    request.heldConcurrent = state.limit.concurrent > 0 ? std::max(state.concurrent, state.running) : 0;
+    state.waitingAtSend = state.waiting;
+    state.waiting = 0;
+    state.sentSequence = request.sequence;
+    state.sentAt = now;
+    state.isAnswered = false;
+    return request;
+}
+
+} // namespace decisions
