Weigh joining servers by their ramp-up in the bound, and ask the former anchor

Cause: a server that joins with its whole weight lowers the mean by 1/n at once, which lifts the others above c x mean without one request admitted; and a chat whose anchor changed was taken for a new one.

--- a/src/libs/decisions/candidatewalk.h
+++ b/src/libs/decisions/candidatewalk.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "homeledger.h"
+#include "spillmemory.h"
 
 #include "utils/ids.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <variant>
@@ -12,11 +14,19 @@
 
 namespace decisions {
 
-/// Asks the home of `server` to admit the request (or to queue it, see wait_at).
+/// Asks the home of `server` to admit the request.
 struct ask_home {
     utils::server_id server;
     bool holdsCache = false; ///< the server holds the chat's prefix: the whole c applies
+    std::uint32_t prefixTokens = 0; ///< of that prefix; the home may hold the request back by patienceFor it
     bool isAnchor = false; ///< the home looks the chat up in its spill_memory first
+    bool onlyIfRemembered = false; ///< an unknown chat is not admitted yet: its former anchor is asked first
+};
+
+/// Asks the home of a server that was the chat's anchor before a server joined or left: its spill_memory may
+/// still know the chat. Admits nothing; answered by a home_answer with or without `remembered`.
+struct ask_memory {
+    utils::server_id server;
 };
 
 /// No candidate has room: let the home of `server` queue the request until it has, or until its deadline.
@@ -28,16 +38,16 @@
 /// Every server is out: nothing to ask.
 struct no_candidate { };
 
-using walk_step = std::variant<ask_home, wait_at, no_candidate>;
+using walk_step = std::variant<ask_home, ask_memory, wait_at, no_candidate>;
 
 /// What a home answers to ask_home.
 struct home_answer {
     admit_verdict verdict = admit_verdict::NotHolding;
     /// Of the anchor's home: the chat's prefix is at that server; nothing was admitted yet unless it is its
     /// own.
-    std::optional<utils::server_id> remembered;
+    std::optional<spill_record> remembered = std::nullopt;
     unsigned load = 0; ///< of the home's server, for the entry node's load_view
-    unsigned slots = 1;
+    double slots = 1; ///< slots x ramp-up
 };
 
 struct walk_settings {
@@ -52,12 +62,15 @@
 /// Events in (onAnswer), one step out (next); not thread safe.
 class candidate_walk {
 public:
-    /// `ranking`: servers as rankServers orders them.
-    explicit candidate_walk(std::vector<utils::server_id> ranking, walk_settings settings = {});
+    /// `ranking`: servers as rankServers orders them. `formerAnchor`: first of the ranking over the servers
+    /// of a while ago (as long as chats usually pause), where it differs from today's first.
+    explicit candidate_walk(std::vector<utils::server_id> ranking,
+        std::optional<utils::server_id> formerAnchor = {}, walk_settings settings = {});
 
     /// The next thing to do. Repeats itself until onAnswer.
     walk_step next() const;
-    /// Answer of the home last asked; a home that does not answer counts as NotHolding.
+    /// Answer of the home last asked; a home that does not answer counts as NotHolding. After wait_at the
+    /// answer is that of the queue.
     void onAnswer(const home_answer& answer);
     /// Whether a home admitted the request.
     bool isAdmitted() const { return m_isAdmitted; }
@@ -66,7 +79,7 @@
     /// The server whose home has to learn where the chat went (spill_memory::remember), once admitted.
     const std::optional<utils::server_id>& anchor() const { return m_anchor; }
     /// Homes asked so far.
-    std::size_t asks() const { return m_tried.size(); }
+    std::size_t asks() const { return m_asks; }
 
 private:
     struct refusal {
@@ -74,15 +87,18 @@
         double loadPerSlot;
     };
 
+    void noteRefusal(const home_answer& answer);
     void advance();
+    bool isRanked(const utils::server_id& server) const;
     std::optional<utils::server_id> nextRanked() const;
 
     std::vector<utils::server_id> m_ranking;
     walk_settings m_settings;
     std::optional<utils::server_id> m_anchor;
-    std::optional<utils::server_id> m_remembered;
+    std::optional<utils::server_id> m_formerAnchor;
+    std::optional<spill_record> m_remembered;
     std::optional<utils::server_id> m_asked;
-    bool m_askedHoldsCache = false;
+    std::size_t m_asks = 0;
     std::set<utils::server_id> m_tried;
     std::optional<refusal> m_leastLoaded;
     bool m_isAdmitted = false;
--- a/src/libs/decisions/homeledger.cpp
+++ b/src/libs/decisions/homeledger.cpp
@@ -142,6 +142,12 @@
         m_inherited = std::min(m_inherited, foreign);
 }
 
+void home_ledger::setCapacity(unsigned slots, double rampUp)
+{
+    m_slots = slots;
+    m_rampUp = rampUp;
+}
+
 admit_verdict home_ledger::check(
     bool holdsCache, const load_bound& bound, const fleet_state& fleet, utils::time_point now)
 {
@@ -151,7 +157,7 @@
     const unsigned next = load(now) + 1;
     if (ownInFlight() + 1 > slotShare(fleet) || next > m_slots)
         return admit_verdict::SlotsFull;
-    if (next > boundedLoad(multipleFor(bound, holdsCache), m_slots, fleet.mean))
+    if (next > boundedLoad(multipleFor(bound, holdsCache), weight(), fleet.mean))
         return admit_verdict::OverBound;
     return admit_verdict::Admitted;
 }
--- a/src/libs/decisions/homeledger.h
+++ b/src/libs/decisions/homeledger.h
@@ -107,8 +107,8 @@
     void loseCurrency();
     /// The server's own report.
     void onServerReport(const server_report& report, utils::time_point now);
-    /// The document changed the server's slots.
-    void setSlots(unsigned slots) { m_slots = slots; }
+    /// The document changed the server's slots, or its ramp-up moved on (rampUpWeight).
+    void setCapacity(unsigned slots, double rampUp);
 
     /// Whether a request would be admitted now. `holdsCache`: the server holds the chat's prefix.
     admit_verdict check(
@@ -124,6 +124,8 @@
     unsigned load(utils::time_point now) const;
     unsigned ownInFlight() const { return static_cast<unsigned>(m_tickets.size()); }
     unsigned slots() const { return m_slots; }
+    /// Slots x ramp-up: what bound and mean weigh the server by.
+    double weight() const { return m_slots * m_rampUp; }
     home_state state() const { return m_state; }
     bool isAwaiting() const { return m_state == home_state::AwaitingHandover; }
 
@@ -146,6 +148,7 @@
 
     utils::node_id m_self;
     unsigned m_slots;
+    double m_rampUp = 1;
     home_settings m_settings;
     home_state m_state = home_state::NotHome;
     std::map<utils::node_id, predecessor> m_predecessors;
--- a/src/libs/decisions/loadbound.cpp
+++ b/src/libs/decisions/loadbound.cpp
@@ -5,9 +5,9 @@
 
 namespace decisions {
 
-unsigned boundedLoad(double multiple, unsigned slots, const mean_load& mean)
+unsigned boundedLoad(double multiple, double slots, const mean_load& mean)
 {
-    if (mean.totalSlots == 0)
+    if (mean.totalSlots <= 0)
         return 1;
     constexpr double epsilon = 1e-9; // sums of loads divided by slots are off by less
     const double perSlot = mean.perSlot + 1.0 / mean.totalSlots;
--- a/src/libs/decisions/loadview.cpp
+++ b/src/libs/decisions/loadview.cpp
@@ -1,6 +1,8 @@
 #include "loadview.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <numeric>
 
 namespace decisions {
 
@@ -63,16 +65,20 @@
     if (living.slots <= 0)
         return {};
     const auto& used = young.servers >= enoughYoung ? young : living;
-    return { used.inFlight / used.slots, static_cast<unsigned>(living.slots) };
+    return { used.inFlight / used.slots, living.slots };
 }
 
 std::vector<load_entry> load_view::youngest(std::size_t limit) const
 {
-    std::vector<load_entry> entries = m_entries;
-    const auto count = std::min(limit, entries.size());
-    std::partial_sort(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(count), entries.end(),
-        [](const auto& a, const auto& b) { return a.countedAt > b.countedAt; });
-    entries.resize(count);
+    std::vector<std::uint32_t> order(m_entries.size());
+    std::iota(order.begin(), order.end(), 0U);
+    const auto count = std::min(limit, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end(),
+        [this](auto a, auto b) { return m_entries[a].countedAt > m_entries[b].countedAt; });
+    std::vector<load_entry> entries;
+    entries.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        entries.push_back(m_entries[order[i]]);
     return entries;
 }
 
--- a/src/libs/decisions/loadview.h
+++ b/src/libs/decisions/loadview.h
@@ -15,7 +15,7 @@
 struct load_entry {
     utils::server_id server;
     unsigned inFlight = 0;
-    unsigned slots = 1;
+    double slots = 1; ///< slots x ramp-up
     utils::time_point countedAt; ///< by the reader's clock: time of arrival less the age that it came with
 };
 
