Check keyed payments in random histories

Cause: at most once must hold whatever comes together: kills, pauses, lost answers, late writes, retries. Change: tst_histories draws 300 histories of 40 payments, each sent three times through four nodes that share one platform, with a quarter of all calls failing, and checks the service's ledger.

Found on the way: the bench restarted nodes that were up, which lost their machines; its own fault, mended. Conclusion: at most once rests on the compare-and-swap alone; clocks only decide what is refused.

--- a/tests/auto/operations/paymentbench.cpp
+++ b/tests/auto/operations/paymentbench.cpp
@@ -172,6 +172,8 @@
 void payment_bench::restart(std::size_t node)
 {
     node_state& at = m_nodes.at(node);
+    if (at.isUp)
+        return;
     at.isUp = true;
     ++at.boot;
 }
--- /dev/null
+++ b/tests/auto/operations/tst_histories.cpp
@@ -0,0 +1,258 @@
+#include "paymentbench.h"
+
+#include "utils/statechart.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t nodeCount = 4;
+constexpr std::size_t keysPerHistory = 40;
+constexpr std::size_t sendingsPerKey = 3;
+constexpr unsigned historyCount = 300;
+constexpr int faultPercent = 25;
+
+const utils::state_chart& operationChart()
+{
+    static const utils::state_chart chart
+        = utils::state_chart::load(LYCHEEFRONT_SOURCE_DIR "/share/lycheefront/charts/operation.yaml").value();
+    return chart;
+}
+
+/// One step of a history. What `value` means depends on the kind.
+struct history_step {
+    enum class kind {
+        Send,
+        Pause,
+        Resume,
+        Kill,
+        Restart,
+        CallerGone,
+        Advance
+    };
+    kind what = kind::Send;
+    unsigned value = 0;
+    std::size_t node = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const history_step& step)
+{
+    static constexpr std::array names { "send", "pause", "resume", "kill", "restart", "callerGone",
+        "advance" };
+    return out << names.at(static_cast<std::size_t>(step.what)) << '(' << step.value << ", node " << step.node
+               << ')';
+}
+
+/// A history, and the seed of the fates of its calls.
+struct history {
+    std::vector<history_step> steps;
+    unsigned seed = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const history& h)
+{
+    out << "seed " << h.seed << ':';
+    for (const history_step& step : h.steps)
+        out << ' ' << step;
+    return out;
+}
+
+/// Sums over all histories: shows that the faults bite.
+struct totals {
+    std::size_t payments = 0;
+    std::size_t sendings = 0;
+    std::size_t ran = 0;
+    std::size_t answered = 0;
+    std::size_t notRun = 0;
+    std::size_t mayHaveRun = 0;
+    std::size_t lost = 0;
+};
+
+rc::Gen<history_step> stepGenerator()
+{
+    using kind = history_step::kind;
+    const auto what = rc::gen::weightedElement<kind>({ { 50, kind::Advance }, { 8, kind::Pause },
+        { 10, kind::Resume }, { 4, kind::Kill }, { 6, kind::Restart }, { 5, kind::CallerGone } });
+    return rc::gen::build<history_step>(rc::gen::set(&history_step::what, what),
+        rc::gen::set(&history_step::value, rc::gen::inRange<unsigned>(0, 4000)),
+        rc::gen::set(&history_step::node, rc::gen::inRange<std::size_t>(0, nodeCount)));
+}
+
+/// Every key is sent sendingsPerKey times at random places among the other steps.
+rc::Gen<history> historyGenerator()
+{
+    const auto steps = rc::gen::container<std::vector<history_step>>(250, stepGenerator());
+    const auto places = rc::gen::container<std::vector<std::size_t>>(
+        keysPerHistory * sendingsPerKey, rc::gen::inRange<std::size_t>(0, 250));
+    const auto nodes = rc::gen::container<std::vector<std::size_t>>(
+        keysPerHistory * sendingsPerKey, rc::gen::inRange<std::size_t>(0, nodeCount));
+    const auto seed = rc::gen::inRange<unsigned>(0, 1U << 30U);
+    const auto drawing = rc::gen::resize(rc::kNominalSize, rc::gen::tuple(steps, places, nodes, seed));
+    return rc::gen::map(drawing, [](const auto& drawn) {
+        history h { std::get<0>(drawn), std::get<3>(drawn) };
+        for (std::size_t i = 0; i < std::get<1>(drawn).size(); ++i) {
+            const auto at = std::min(std::get<1>(drawn)[i], h.steps.size());
+            h.steps.insert(h.steps.begin() + static_cast<std::ptrdiff_t>(at),
+                { history_step::kind::Send, static_cast<unsigned>(i % keysPerHistory),
+                    std::get<2>(drawn)[i] });
+        }
+        return h;
+    });
+}
+
+template <class Fate> Fate drawFate(std::mt19937& random, const std::vector<Fate>& faults)
+{
+    if (std::uniform_int_distribution(1, 100)(random) > faultPercent)
+        return Fate::Answered;
+    return faults[std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(random)];
+}
+
+void injectFaults(payment_bench& bench, std::mt19937& random)
+{
+    bench.kv().fate = [&random](const auto&) {
+        return drawFate<kv_fate>(random,
+            { kv_fate::NotSent, kv_fate::RequestLost, kv_fate::AnswerLost, kv_fate::LateEffect,
+                kv_fate::Slow });
+    };
+    bench.serviceFate = [&random](std::size_t) {
+        return drawFate<service_fate>(random,
+            { service_fate::NotReached, service_fate::CutBefore, service_fate::CutAfter,
+                service_fate::LateAnswer, service_fate::SlowToReach });
+    };
+    bench.gate = [&random](std::size_t) -> std::optional<utils::failure> {
+        if (std::uniform_int_distribution(1, 20)(random) > 1)
+            return std::nullopt;
+        return utils::failure { utils::error_kind::NotApproved, {}, {}, {} };
+    };
+}
+
+void play(payment_bench& bench, const history_step& step)
+{
+    using kind = history_step::kind;
+    switch (step.what) {
+    case kind::Send:
+        bench.send("order-" + std::to_string(step.value), step.node);
+        return;
+    case kind::Pause:
+        return bench.pause(step.node);
+    case kind::Resume:
+        return bench.resume(step.node);
+    case kind::Kill:
+        return bench.kill(step.node);
+    case kind::Restart:
+        return bench.restart(step.node);
+    case kind::CallerGone:
+        if (!bench.sendings().empty())
+            bench.callerGone(step.value % bench.sendings().size());
+        return;
+    case kind::Advance:
+        return bench.time().advance(std::chrono::milliseconds(step.value / 8));
+    }
+}
+
+/// Ends all faults and waits until every machine is done.
+void settle(payment_bench& bench)
+{
+    bench.kv().fate = [](const auto&) { return kv_fate::Answered; };
+    bench.serviceFate = [](std::size_t) { return service_fate::Answered; };
+    bench.gate = [](std::size_t) { return std::optional<utils::failure>(); };
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        bench.resume(node);
+        bench.restart(node);
+    }
+    bench.time().advance(5min);
+}
+
+void checkSending(const payment_bench& bench, std::size_t index)
+{
+    const sending& s = bench.sendings()[index];
+    if (s.isConnectionLost)
+        RC_ASSERT(s.finalAnswers == 0U);
+    else
+        RC_ASSERT(s.finalAnswers == 1U);
+    if (s.saysNotRun())
+        RC_ASSERT(bench.ledgerOf(index) == 0U);
+    if (s.answer) {
+        RC_ASSERT(s.answer->body == "receipt " + s.key);
+        RC_ASSERT(bench.ledger(s.key) == 1U);
+    }
+    RC_ASSERT(bench.ledger(s.key) <= 1U);
+}
+
+/// A key whose callers have only heard not_run must run when sent again.
+void checkNotRunMayBeRepeated(payment_bench& bench)
+{
+    std::set<std::string> unclear;
+    std::set<std::string> keys;
+    for (const sending& s : bench.sendings()) {
+        keys.insert(s.key);
+        if (!s.saysNotRun())
+            unclear.insert(s.key);
+    }
+    for (const std::string& key : keys) {
+        if (unclear.contains(key))
+            continue;
+        const std::size_t again = bench.send(key, 0);
+        bench.time().advance(5s);
+        RC_ASSERT(bench.sendings()[again].answer.has_value());
+    }
+}
+
+void count(const payment_bench& bench, totals& sum)
+{
+    std::set<std::string> keys;
+    for (const sending& s : bench.sendings()) {
+        keys.insert(s.key);
+        ++sum.sendings;
+        sum.answered += s.answer ? 1 : 0;
+        sum.notRun += s.saysNotRun() ? 1 : 0;
+        sum.mayHaveRun += s.failure && !s.saysNotRun() ? 1 : 0;
+        sum.lost += s.isConnectionLost ? 1 : 0;
+    }
+    sum.payments += keys.size();
+    for (const std::string& key : keys)
+        sum.ran += bench.ledger(key);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(keyed_payments_run_at_most_once_in_random_histories)
+{
+    // Callers send each payment three times through four nodes, while nodes are paused, resumed, killed and
+    // restarted, the platform loses requests and answers or lets writes take effect late, and the service
+    // is cut either way. Each caller must get one answer, no payment may run twice, and none may run in
+    // a sending that was answered not_run.
+    totals sum;
+    unsigned histories = 0;
+    const bool holds = rc::check("at most once", [&] {
+        const history h = *historyGenerator();
+        payment_bench bench(operationChart(), nodeCount);
+        std::mt19937 random(h.seed);
+        injectFaults(bench, random);
+        for (const history_step& step : h.steps)
+            play(bench, step);
+        settle(bench);
+        for (std::size_t index = 0; index < bench.sendings().size(); ++index)
+            checkSending(bench, index);
+        count(bench, sum);
+        checkNotRunMayBeRepeated(bench);
+        ++histories;
+    });
+    std::cout << histories << " histories, " << sum.payments << " keyed payments in " << sum.sendings
+              << " sendings: ran " << sum.ran << ", answered " << sum.answered << ", not_run " << sum.notRun
+              << ", may_have_run " << sum.mayHaveRun << ", connection lost " << sum.lost << '\n';
+    BOOST_TEST(holds);
+    BOOST_TEST(histories >= historyCount);
+    BOOST_TEST(sum.payments >= 10000U);
+}
