--- /dev/null
+++ b/src/libs/fleet/fleetnode.cpp
@@ -0,0 +1,412 @@
+#include "fleetnode.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+constexpr std::size_t maxNameLength = 64; // so that a datagram always has room for its lists
+constexpr std::size_t digestBytes = 120;
+constexpr std::size_t handoverBytes = 500;
+constexpr std::size_t maxEvidence = 40;
+constexpr unsigned marginPeriods = 2; // nodes whose lists differ may differ in T by one
+constexpr utils::duration reviewEvery = std::chrono::milliseconds(200);
+constexpr utils::duration confirmEvery = std::chrono::milliseconds(100);
+constexpr unsigned unknownLag = 255;
+
+void checkName(const std::string& name)
+{
+    if (name.empty() || name.size() > maxNameLength)
+        throw std::invalid_argument("a node's name, address and data centre have 1 to 64 characters");
+}
+
+const fleet_settings& checked(const fleet_settings& settings)
+{
+    checkName(settings.id.str());
+    checkName(settings.address);
+    checkName(settings.dataCentre.str());
+    return settings;
+}
+
+self_info selfOf(const fleet_settings& settings)
+{
+    // Seconds fit 32 bits and grow from start to start; refutations add one each, far more slowly.
+    constexpr std::uint64_t microsecondsPerSecond = 1'000'000;
+    const auto incarnation = static_cast<std::uint32_t>(settings.bootId / microsecondsPerSecond);
+    return { settings.id, settings.address, settings.dataCentre, std::max<std::uint32_t>(incarnation, 1) };
+}
+
+bool carriesEvidence(wire::datagram_kind kind)
+{
+    return kind == wire::datagram_kind::Ack || kind == wire::datagram_kind::RelayedAck;
+}
+
+} // namespace
+
+fleet_node::fleet_node(const fleet_settings& settings, const utils::state_chart& chart, std::uint64_t seed)
+    : m_settings(checked(settings))
+    , m_codec(wire::peer_keys(settings.currentKey, settings.previousKey), settings.id, settings.bootId)
+    , m_membership(selfOf(settings), settings.membership, seed)
+    , m_currency(settings.id, settings.currency)
+    , m_digests(wire::tagOf(settings.id), settings.bootId, settings.digestLifetime)
+    , m_spread({ settings.id, settings.dataCentre }, settings.spread, seed + 1)
+    , m_handover({ settings.id, settings.dataCentre }, settings.handover)
+    , m_position(chart)
+{
+}
+
+void fleet_node::setListed(const std::vector<listed_vm>& list, utils::time_point now)
+{
+    begin(now);
+    m_membership.setListed(list, now);
+    m_currency.setListed(list, now);
+    m_isListedLeaving = std::ranges::any_of(
+        list, [&](const listed_vm& vm) { return vm.id == m_settings.id && vm.isLeaving; });
+    m_viewVersion = ~std::uint64_t { 0 };
+    finish(now);
+}
+
+void fleet_node::onDatagram(std::string_view bytes, const std::string& from, utils::time_point now)
+{
+    ++m_counters.datagramsReceived;
+    m_counters.bytesReceived += bytes.size();
+    const std::optional<wire::datagram> message = m_codec.decode(bytes);
+    if (!message)
+        return;
+    begin(now);
+    const std::optional<probe_answer> answer = m_membership.onMessage(*message, from, now);
+    m_membership.noteRevision(message->sender, message->revisionInForce.value);
+    m_spread.onPeer(message->sender, message->revisionKnown.value, message->revisionInForce.value, now);
+    if (answer)
+        takeEvidence(*message, *answer);
+    m_digests.merge(message->digests, now);
+    if (!message->handovers.empty()) {
+        const member* sender = m_membership.members().find(message->sender);
+        const home_candidate from { message->sender, sender ? sender->dataCentre : utils::data_centre_id() };
+        for (const wire::handover_item& item : message->handovers)
+            m_handover.onItem(from, item, now);
+    }
+    finish(now);
+}
+
+void fleet_node::onTick(utils::time_point now)
+{
+    begin(now);
+    m_membership.onTick(now);
+    if (now >= m_nextReview) {
+        m_nextReview = now + reviewEvery;
+        updateViews(now);
+        m_handover.onTick(now);
+        m_spread.onTick(m_currency.hasMajority(now), now);
+    }
+    if (m_confirming != 0 && now >= m_nextConfirm)
+        continueConfirming(now);
+    finish(now);
+}
+
+utils::time_point fleet_node::nextTick() const
+{
+    utils::time_point next = std::min(m_membership.nextTick(), m_nextReview);
+    if (m_confirming != 0)
+        next = std::min(next, m_nextConfirm);
+    return next;
+}
+
+void fleet_node::onHead(utils::config_revision revision, utils::time_point startedAt, utils::time_point now)
+{
+    begin(now);
+    m_currency.onHeadRead(startedAt);
+    m_spread.onHead(revision, now);
+    finish(now);
+}
+
+void fleet_node::onDocumentInForce(utils::config_revision revision, utils::time_point now)
+{
+    begin(now);
+    announceRevision(m_spread.onInForce(revision, now));
+    finish(now);
+}
+
+void fleet_node::onFetchFailed(const utils::node_id& peer, utils::time_point now)
+{
+    begin(now);
+    m_spread.onFetchFailed(peer, now);
+    finish(now);
+}
+
+void fleet_node::confirm(utils::config_revision revision, utils::time_point now)
+{
+    begin(now);
+    m_confirming = std::max(m_confirming, revision);
+    continueConfirming(now);
+    finish(now);
+}
+
+acknowledgement fleet_node::acknowledged(utils::config_revision revision, utils::time_point now) const
+{
+    acknowledgement known;
+    const std::set<wire::node_tag> witnesses = m_currency.witnesses(now);
+    const bool hasSelf = m_spread.inForce() >= revision;
+    known.witnessesListed = witnesses.size();
+    known.witnesses = hasSelf && witnesses.contains(wire::tagOf(m_settings.id)) ? 1 : 0;
+    known.nodesLive = 1;
+    known.nodes = hasSelf ? 1 : 0;
+    for (const auto& [id, m] : m_membership.members().all()) {
+        const bool has = m.revisionInForce >= revision;
+        known.witnesses += has && witnesses.contains(m.tag) ? 1 : 0;
+        known.nodesLive += m.isLive() ? 1 : 0;
+        known.nodes += has && m.isLive() ? 1 : 0;
+    }
+    return known;
+}
+
+void fleet_node::setServers(const std::vector<homed_server>& servers, utils::time_point now)
+{
+    begin(now);
+    m_handover.setServers(servers, now);
+    finish(now);
+}
+
+void fleet_node::setInFlight(const utils::server_id& server, unsigned count, utils::time_point now)
+{
+    m_handover.setInFlight(server, count, now);
+    sendHandovers();
+    encode(now);
+}
+
+void fleet_node::publish(
+    wire::digest_kind kind, const std::string& key, const std::string& value, utils::time_point now)
+{
+    m_digests.publish(kind, key, value, now);
+}
+
+void fleet_node::leave(utils::time_point now)
+{
+    begin(now);
+    m_leaveBy = now + m_settings.leaveTime;
+    take("leave_requested");
+    finish(now);
+}
+
+double fleet_node::shareOf(const utils::server_id& server, utils::time_point now) const
+{
+    return std::min(m_handover.share(server), m_currency.capShare(now));
+}
+
+std::vector<outgoing_datagram> fleet_node::takeDatagrams()
+{
+    return std::exchange(m_datagrams, {});
+}
+
+std::vector<fleet_action> fleet_node::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+/// Before anything that an event brings, the handover sees what the evidence has become: a share that
+/// ended during a pause must not look unbroken because the first datagram afterwards renews it.
+void fleet_node::begin(utils::time_point now)
+{
+    m_handover.observeShare(m_currency.capShare(now), silence(), now);
+    updateState(now);
+}
+
+void fleet_node::finish(utils::time_point now)
+{
+    updateViews(now);
+    m_currency.onRevisions(m_spread.known(), m_spread.inForce(), now);
+    m_handover.observeShare(m_currency.capShare(now), silence(), now);
+    updateState(now);
+    for (spread_action& action : m_spread.takeActions())
+        std::visit([&](auto& each) { m_actions.emplace_back(std::move(each)); }, action);
+    sendHandovers();
+    encode(now);
+}
+
+void fleet_node::takeEvidence(const wire::datagram& message, const probe_answer& answer)
+{
+    m_currency.onEvidence(wire::tagOf(answer.node), answer.askedAt);
+    m_currency.onEvidence(wire::tagOf(message.sender), answer.askedAt);
+    for (const wire::evidence& heard : message.heard) {
+        const auto age = std::chrono::milliseconds(heard.age * wire::evidence::ageUnitMs);
+        m_currency.onEvidence(heard.node, answer.askedAt - age);
+        const member* m = m_membership.members().find(heard.node);
+        const utils::config_revision known = message.revisionKnown.value;
+        if (m != nullptr && heard.revisionLag != unknownLag && known >= heard.revisionLag
+            && known - heard.revisionLag > m->revisionInForce)
+            m_membership.noteRevision(m->id, known - heard.revisionLag);
+    }
+}
+
+void fleet_node::updateViews(utils::time_point now)
+{
+    const std::uint64_t version = m_membership.members().version();
+    if (version == m_viewVersion)
+        return;
+    m_viewVersion = version;
+    std::vector<home_candidate> candidates;
+    std::vector<spread_peer> peers;
+    handover_view view;
+    if (m_membership.selfState() == member_state::Alive && !m_isListedLeaving)
+        candidates.push_back({ m_settings.id, m_settings.dataCentre });
+    for (const auto& [id, m] : m_membership.members().all()) {
+        if (m.isLive())
+            peers.push_back({ id, m.dataCentre });
+        if (m.mayBeHome())
+            candidates.push_back({ id, m.dataCentre });
+        else if (m.state != member_state::Left)
+            view.formers.push_back({ { id, m.dataCentre }, m.isLive(), m.silentSince });
+        if (m.state == member_state::Left)
+            m_currency.onLeft(m.tag);
+        else if (m.isLive())
+            m_currency.onBack(m.tag);
+    }
+    m_spread.setPeers(std::move(peers));
+    if (candidates != m_homes.candidates())
+        m_homes = home_map(std::move(candidates));
+    view.homes = m_homes;
+    m_handover.setView(std::move(view), now);
+}
+
+void fleet_node::updateState(utils::time_point now)
+{
+    const bool isCurrent = m_currency.isCurrent(now);
+    if (isCurrent != m_wasCurrent) {
+        m_wasCurrent = isCurrent;
+        take(isCurrent ? "evidence_gained" : "evidence_lost");
+    }
+    if (now >= m_leaveBy)
+        take("leave_timeout");
+    else if (m_leaveBy != utils::time_point::max() && m_handover.isHandedOver())
+        take("handed_over");
+}
+
+void fleet_node::continueConfirming(utils::time_point now)
+{
+    m_nextConfirm = now + confirmEvery;
+    const std::set<wire::node_tag> witnesses = m_currency.witnesses(now);
+    std::vector<utils::node_id> missingWitnesses;
+    std::vector<utils::node_id> missing;
+    for (const auto& [id, m] : m_membership.members().all()) {
+        if (m.isLive() && m.revisionInForce < m_confirming)
+            (witnesses.contains(m.tag) ? missingWitnesses : missing).push_back(id);
+    }
+    if (missing.empty() && missingWitnesses.empty()) {
+        m_confirming = 0;
+        return;
+    }
+    // Witnesses decide the answer "in force on a majority"; the others follow at a bounded rate.
+    constexpr unsigned witnessTurns = 2;
+    if (++m_confirmTurn % witnessTurns == 1) {
+        for (const utils::node_id& node : missingWitnesses)
+            m_membership.probe(node, now);
+    }
+    if (!missing.empty())
+        m_membership.probe(missing[m_confirmTurn % missing.size()], now);
+}
+
+void fleet_node::sendHandovers()
+{
+    std::map<utils::node_id, wire::datagram> messages;
+    std::map<utils::node_id, std::size_t> sizes;
+    for (outgoing_handover& out : m_handover.takeItems()) {
+        wire::datagram& message = messages[out.to];
+        std::size_t& size = sizes[out.to];
+        if (size + out.item.size() > handoverBytes) {
+            message.kind = wire::datagram_kind::Announce;
+            m_membership.send(out.to, std::exchange(message, {}));
+            size = 0;
+        }
+        size += out.item.size();
+        message.handovers.push_back(std::move(out.item));
+    }
+    for (auto& [to, message] : messages) {
+        message.kind = wire::datagram_kind::Announce;
+        m_membership.send(to, std::move(message));
+    }
+}
+
+void fleet_node::announceRevision(const std::vector<utils::node_id>& peers)
+{
+    for (const utils::node_id& peer : peers) {
+        wire::datagram news;
+        news.kind = wire::datagram_kind::Announce;
+        m_membership.send(peer, std::move(news));
+    }
+}
+
+void fleet_node::encode(utils::time_point now)
+{
+    for (outgoing_message& out : m_membership.takeMessages()) {
+        decorate(out.message, now);
+        std::string bytes = m_codec.encode(std::move(out.message), out.to);
+        if (bytes.empty())
+            continue;
+        ++m_counters.datagramsSent;
+        m_counters.bytesSent += bytes.size();
+        m_datagrams.push_back({ std::move(out.address), std::move(bytes) });
+    }
+}
+
+void fleet_node::decorate(wire::datagram& message, utils::time_point now)
+{
+    message.revisionInForce.value = m_spread.inForce();
+    message.revisionKnown.value = m_spread.known();
+    if (carriesEvidence(message.kind))
+        message.heard = evidenceFor(now);
+    const bool hasRoom = message.briefs.empty() && message.handovers.empty();
+    if (hasRoom && message.kind != wire::datagram_kind::ProbeRequest)
+        message.digests = m_digests.take(digestBytes, now);
+}
+
+std::vector<wire::evidence> fleet_node::evidenceFor(utils::time_point now) const
+{
+    std::vector<wire::evidence> list;
+    const wire::node_tag self = wire::tagOf(m_settings.id);
+    for (const auto& [node, at] : m_currency.fresh(now)) {
+        if (list.size() == maxEvidence || node == self) // the answer itself is this node's own
+            continue;
+        const auto units
+            = (std::chrono::ceil<std::chrono::milliseconds>(now - at).count() + wire::evidence::ageUnitMs - 1)
+            / wire::evidence::ageUnitMs;
+        if (units > std::numeric_limits<std::uint8_t>::max())
+            continue;
+        const member* m = m_membership.members().find(node);
+        const utils::config_revision known = m_spread.known();
+        const utils::config_revision behind
+            = m == nullptr ? unknownLag : known - std::min(known, m->revisionInForce);
+        list.push_back({ node, static_cast<std::uint8_t>(units),
+            static_cast<std::uint8_t>(std::min<utils::config_revision>(behind, unknownLag)) });
+    }
+    return list;
+}
+
+void fleet_node::take(std::string_view event)
+{
+    const std::vector<std::string>& actions = m_position.take(event);
+    if (actions.empty())
+        return;
+    for (const std::string& action : actions) {
+        if (action == "becomeReady")
+            m_actions.emplace_back(become_ready {});
+        else if (action == "becomeUnready")
+            m_actions.emplace_back(become_unready {});
+        else if (action == "announceLeaving")
+            m_membership.announce(member_state::Leaving);
+        else if (action == "announceLeft") {
+            m_membership.announce(member_state::Left);
+            m_actions.emplace_back(has_left {});
+        }
+    }
+    m_viewVersion = ~std::uint64_t { 0 };
+}
+
+utils::duration fleet_node::silence() const
+{
+    return m_currency.window() + marginPeriods * m_settings.membership.period;
+}
+
+} // namespace fleet
--- /dev/null
+++ b/src/libs/fleet/membership.cpp
@@ -0,0 +1,416 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+constexpr std::size_t updateBytes = 240; // six joins, or a dozen of other changes
+constexpr std::size_t briefsInAnswer = 50; // 450 bytes, beside the other lists
+constexpr unsigned maxSyncRounds = 12; // a whole fleet that starts at once learns itself by doubling
+constexpr std::size_t syncedShare = 10; // done when less than a tenth of the list is unheard
+constexpr unsigned relayedProbePeriods = 2;
+
+} // namespace
+
+membership::membership(self_info self, membership_options options, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_options(options)
+    , m_random(seed)
+{
+    m_updates.add(selfUpdate());
+}
+
+void membership::setListed(const std::vector<listed_vm>& list, utils::time_point now)
+{
+    std::vector<listed_vm> others;
+    std::ranges::copy_if(
+        list, std::back_inserter(others), [&](const listed_vm& vm) { return vm.id != m_self.id; });
+    if (m_members.all().empty() && !others.empty())
+        m_syncRounds = maxSyncRounds;
+    m_members.setListed(others, now);
+    if (!m_hasStarted) {
+        m_hasStarted = true;
+        m_lastTick = now;
+        // Spread over a period, so that nodes that start together do not probe in step.
+        m_nextRound
+            = now + utils::duration(m_random() % static_cast<std::uint64_t>(m_options.period.count()));
+    }
+}
+
+std::optional<probe_answer> membership::onMessage(
+    const wire::datagram& message, const std::string& from, utils::time_point now)
+{
+    applyNews(message, from, now);
+    switch (message.kind) {
+    case wire::datagram_kind::Ping:
+        onPing(message, from);
+        return {};
+    case wire::datagram_kind::ProbeRequest:
+        onProbeRequest(message, now);
+        return {};
+    case wire::datagram_kind::Ack:
+        return onAnswer(message, message.sender, now);
+    case wire::datagram_kind::RelayedAck:
+        return onAnswer(message, message.subject, now);
+    case wire::datagram_kind::Announce:
+    case wire::datagram_kind::Count_:
+        return {};
+    }
+    return {};
+}
+
+void membership::onTick(utils::time_point now)
+{
+    if (!m_hasStarted || m_selfState == member_state::Left)
+        return;
+    if (wasPaused(now) && m_options.forgivesPause)
+        forgivePause(now);
+    m_lastTick = now;
+    expireProbes(now);
+    expireSuspicions(now);
+    if (now < m_nextRound)
+        return;
+    startRound(now);
+    m_nextRound = std::max(m_nextRound + m_options.period, now + m_options.period / 2);
+}
+
+utils::time_point membership::nextTick() const
+{
+    if (!m_hasStarted)
+        return utils::time_point::max();
+    utils::time_point next = m_nextRound;
+    for (const pending_probe& probe : m_probes) {
+        if (!probe.wasRepeated && probe.detects)
+            next = std::min(next, probe.askedAt + m_options.answerTime);
+    }
+    return next;
+}
+
+void membership::probe(const utils::node_id& node, utils::time_point now)
+{
+    startProbe(pending_probe(node), false, 0, now);
+}
+
+void membership::send(const utils::node_id& to, wire::datagram message)
+{
+    const member* known = m_members.find(to);
+    if (known != nullptr)
+        sendTo(to, known->address, std::move(message));
+}
+
+void membership::announce(member_state state)
+{
+    m_selfState = state;
+    ++m_self.incarnation;
+    m_updates.add(selfUpdate());
+    // One datagram to a few at once, since this node may be gone before its next probes.
+    constexpr std::size_t toldAtOnce = 6;
+    for (const utils::node_id& node : randomMembers(toldAtOnce)) {
+        wire::datagram message;
+        message.kind = wire::datagram_kind::Announce;
+        send(node, std::move(message));
+    }
+}
+
+std::vector<outgoing_message> membership::takeMessages()
+{
+    return std::exchange(m_outgoing, {});
+}
+
+void membership::noteRevision(const utils::node_id& node, utils::config_revision revision)
+{
+    if (member* known = m_members.find(node))
+        known->revisionInForce = revision;
+}
+
+std::vector<utils::node_id> membership::randomMembers(std::size_t count)
+{
+    std::vector<utils::node_id> live;
+    for (const auto& [id, m] : m_members.all()) {
+        if (m.isLive())
+            live.push_back(id);
+    }
+    std::vector<utils::node_id> chosen;
+    std::ranges::sample(live, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(count), m_random);
+    return chosen;
+}
+
+bool membership::wasPaused(utils::time_point now) const
+{
+    return now - m_lastTick > 2 * m_options.period;
+}
+
+/// Without it a node that was stopped for seconds finds all its probes unanswered and all suspicions
+/// overdue, and declares healthy nodes dead that were never given the time to answer.
+void membership::forgivePause(utils::time_point now)
+{
+    m_probes.clear();
+    std::vector<utils::node_id> suspects;
+    for (const auto& [id, m] : m_members.all()) {
+        if (m.state == member_state::Suspect)
+            suspects.push_back(id);
+    }
+    for (const utils::node_id& id : suspects)
+        m_members.find(id)->stateSince = now;
+    m_nextRound = now;
+}
+
+void membership::startRound(utils::time_point now)
+{
+    ++m_round;
+    const utils::node_id target = nextTarget();
+    if (!target.isEmpty())
+        startProbe(pending_probe(target, true), false, 0, now);
+    if (m_syncRounds > 0)
+        syncMembers(now);
+    if (m_round % m_options.deadProbeRounds == 0) {
+        // A split that heals is noticed only by trying nodes that were given up.
+        std::vector<utils::node_id> dead;
+        for (const auto& [id, m] : m_members.all()) {
+            if (m.state == member_state::Dead && m.isListed)
+                dead.push_back(id);
+        }
+        if (!dead.empty())
+            probe(dead[m_random() % dead.size()], now);
+        m_members.forgetOld(now, m_options.forgetAfter);
+    }
+}
+
+void membership::startProbe(
+    pending_probe probe, bool wantsMembers, wire::node_tag cursor, utils::time_point now)
+{
+    probe.nonce = m_random();
+    probe.askedAt = now;
+    wire::datagram ping;
+    ping.kind = wire::datagram_kind::Ping;
+    ping.nonce = probe.nonce;
+    ping.wantsMembers = wantsMembers;
+    ping.memberCursor = cursor;
+    send(probe.target, std::move(ping));
+    m_probes.push_back(std::move(probe));
+}
+
+void membership::repeatProbe(pending_probe& probe)
+{
+    probe.wasRepeated = true;
+    wire::datagram ping;
+    ping.kind = wire::datagram_kind::Ping;
+    ping.nonce = probe.nonce;
+    send(probe.target, std::move(ping));
+    if (m_options.usesRelays)
+        askRelays(probe);
+}
+
+void membership::askRelays(const pending_probe& probe)
+{
+    std::vector<utils::node_id> relays = randomMembers(m_options.relays + 1);
+    std::erase(relays, probe.target);
+    relays.resize(std::min<std::size_t>(relays.size(), m_options.relays));
+    for (const utils::node_id& relay : relays) {
+        wire::datagram request;
+        request.kind = wire::datagram_kind::ProbeRequest;
+        request.nonce = probe.nonce;
+        request.subject = probe.target;
+        send(relay, std::move(request));
+    }
+}
+
+void membership::expireProbes(utils::time_point now)
+{
+    std::vector<pending_probe> kept;
+    for (pending_probe& probe : std::exchange(m_probes, {})) {
+        const utils::duration age = now - probe.askedAt;
+        if (!probe.detects) {
+            if (age < relayedProbePeriods * m_options.period)
+                kept.push_back(std::move(probe));
+            continue;
+        }
+        if (age >= m_options.period) {
+            const member* m = m_members.find(probe.target);
+            if (m != nullptr && m->isLive())
+                applyUpdate({ probe.target, member_state::Suspect, m->incarnation, {}, {} }, now);
+            continue;
+        }
+        if (age >= m_options.answerTime && !probe.wasRepeated)
+            repeatProbe(probe);
+        kept.push_back(std::move(probe));
+    }
+    m_probes = std::move(kept);
+}
+
+void membership::expireSuspicions(utils::time_point now)
+{
+    std::vector<wire::member_update> deaths;
+    for (const auto& [id, m] : m_members.all()) {
+        if (m.state == member_state::Suspect && now - m.stateSince >= suspicionTime())
+            deaths.push_back({ id, member_state::Dead, m.incarnation, {}, {} });
+    }
+    for (const wire::member_update& death : deaths)
+        applyUpdate(death, now);
+}
+
+void membership::syncMembers(utils::time_point now)
+{
+    std::vector<utils::node_id> reachable;
+    std::size_t unheard = 0;
+    for (const auto& [id, m] : m_members.all()) {
+        if (m.isLive() || m.state == member_state::Listed)
+            reachable.push_back(id);
+        unheard += m.state == member_state::Listed ? 1 : 0;
+    }
+    --m_syncRounds;
+    if (unheard * syncedShare < m_members.all().size())
+        m_syncRounds = 0;
+    if (m_syncRounds > 0 && !reachable.empty())
+        startProbe(pending_probe(reachable[m_random() % reachable.size()]), true, 0, now);
+}
+
+/// Each node in turn, in an order shuffled for each pass: the time until a dead node is probed is bounded.
+utils::node_id membership::nextTarget()
+{
+    const auto isTarget = [](const member& m) { return m.isLive() || m.state == member_state::Listed; };
+    for (int pass = 0; pass < 2; ++pass) {
+        while (!m_order.empty()) {
+            utils::node_id id = m_order.back();
+            m_order.pop_back();
+            const member* m = m_members.find(id);
+            if (m != nullptr && isTarget(*m))
+                return id;
+        }
+        for (const auto& [id, m] : m_members.all()) {
+            if (isTarget(m))
+                m_order.push_back(id);
+        }
+        std::ranges::shuffle(m_order, m_random);
+    }
+    return {};
+}
+
+void membership::applyNews(const wire::datagram& message, const std::string& from, utils::time_point now)
+{
+    for (const wire::member_update& update : message.updates)
+        applyUpdate(update, now);
+    for (const wire::member_brief& brief : message.briefs) {
+        if (brief.node != wire::tagOf(m_self.id))
+            m_members.apply(brief, now);
+    }
+    const member* sender = m_members.find(message.sender);
+    if (sender != nullptr) {
+        applyUpdate({ message.sender, message.senderState, message.incarnation, from, {} }, now);
+        m_members.find(message.sender)->wasHeard = true;
+    }
+    refute(message.believedState, message.believedIncarnation);
+}
+
+void membership::applyUpdate(const wire::member_update& update, utils::time_point now)
+{
+    if (update.id == m_self.id) {
+        refute(update.state, update.incarnation);
+        return;
+    }
+    if (!m_members.apply(update, now))
+        return;
+    wire::member_update news = update;
+    const member* m = m_members.find(update.id);
+    const bool isJoin = update.state == member_state::Alive || update.state == member_state::Leaving;
+    news.address = isJoin ? m->address : std::string();
+    news.dataCentre = isJoin ? m->dataCentre.str() : std::string();
+    m_updates.add(std::move(news));
+}
+
+void membership::refute(member_state believed, std::uint32_t incarnation)
+{
+    const bool isFalse = believed == member_state::Suspect || believed == member_state::Dead
+        || believed == member_state::Left;
+    if (!isFalse || incarnation < m_self.incarnation || m_selfState == member_state::Left)
+        return;
+    m_self.incarnation = incarnation + 1;
+    ++m_refutations;
+    m_updates.add(selfUpdate());
+}
+
+void membership::onPing(const wire::datagram& message, const std::string& from)
+{
+    wire::datagram answer;
+    answer.kind = wire::datagram_kind::Ack;
+    answer.nonce = message.nonce;
+    if (message.wantsMembers)
+        fillBriefs(answer, message.memberCursor);
+    sendTo(message.sender, from, std::move(answer));
+}
+
+void membership::onProbeRequest(const wire::datagram& message, utils::time_point now)
+{
+    if (m_members.find(message.subject) == nullptr)
+        return;
+    pending_probe probe(message.subject);
+    probe.requester = message.sender;
+    probe.requesterNonce = message.nonce;
+    startProbe(std::move(probe), false, 0, now);
+}
+
+std::optional<probe_answer> membership::onAnswer(
+    const wire::datagram& message, const utils::node_id& answerer, utils::time_point now)
+{
+    const auto found = std::ranges::find_if(m_probes,
+        [&](const pending_probe& probe) { return probe.nonce == message.nonce && probe.target == answerer; });
+    if (found == m_probes.end())
+        return {};
+    const pending_probe probe = *found;
+    m_probes.erase(found);
+    if (!probe.requester.isEmpty()) {
+        wire::datagram relayed;
+        relayed.kind = wire::datagram_kind::RelayedAck;
+        relayed.nonce = probe.requesterNonce;
+        relayed.subject = answerer;
+        send(probe.requester, std::move(relayed));
+    }
+    if (message.briefs.size() == briefsInAnswer)
+        startProbe(pending_probe(answerer), true, message.briefs.back().node, now);
+    return probe_answer { answerer, probe.askedAt };
+}
+
+void membership::fillBriefs(wire::datagram& answer, wire::node_tag cursor) const
+{
+    std::vector<wire::member_brief> briefs;
+    for (const auto& [id, m] : m_members.all()) {
+        if (m.tag > cursor && m.state != member_state::Listed)
+            briefs.push_back({ m.tag, m.state, m.incarnation });
+    }
+    std::ranges::sort(briefs, {}, &wire::member_brief::node);
+    briefs.resize(std::min(briefs.size(), briefsInAnswer));
+    answer.briefs = std::move(briefs);
+}
+
+void membership::sendTo(const utils::node_id& to, const std::string& address, wire::datagram message)
+{
+    message.incarnation = m_self.incarnation;
+    message.senderState = m_selfState;
+    message.updates = m_updates.take(updateBytes, m_members.all().size() + 1);
+    const member* receiver = m_members.find(to);
+    if (receiver != nullptr) {
+        message.believedState = receiver->state;
+        message.believedIncarnation = receiver->incarnation;
+    }
+    const bool isKnownThere = receiver != nullptr && receiver->wasHeard;
+    if (!isKnownThere)
+        message.updates.push_back(selfUpdate());
+    m_outgoing.push_back({ to, address, std::move(message) });
+}
+
+wire::member_update membership::selfUpdate() const
+{
+    return { m_self.id, m_selfState, m_self.incarnation, m_self.address, m_self.dataCentre.str() };
+}
+
+utils::duration membership::suspicionTime() const
+{
+    const auto rounds = m_options.suspicionRounds + std::bit_width(m_members.all().size() + 1);
+    return rounds * m_options.period;
+}
+
+} // namespace fleet
--- /dev/null
+++ b/src/libs/fleet/updatequeue.cpp
@@ -0,0 +1,45 @@
+#include "updatequeue.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+/// With 2 log2(n) + 2 sends an update misses a node with a chance far below the loss of a probe, and
+/// the next probe of that node tells it anyway.
+unsigned sendLimit(std::size_t fleetSize)
+{
+    return 2 * static_cast<unsigned>(std::bit_width(fleetSize)) + 2;
+}
+
+} // namespace
+
+void update_queue::add(wire::member_update update)
+{
+    const utils::node_id id = update.id;
+    m_updates[id] = { std::move(update), 0 };
+}
+
+std::vector<wire::member_update> update_queue::take(std::size_t bytes, std::size_t fleetSize)
+{
+    std::vector<queued*> order;
+    for (auto& [id, entry] : m_updates)
+        order.push_back(&entry);
+    std::ranges::stable_sort(order, {}, [](const queued* entry) { return entry->timesSent; });
+    std::vector<wire::member_update> taken;
+    for (queued* entry : order) {
+        if (entry->update.size() > bytes)
+            break;
+        bytes -= entry->update.size();
+        ++entry->timesSent;
+        taken.push_back(entry->update);
+    }
+    std::erase_if(
+        m_updates, [&](const auto& entry) { return entry.second.timesSent >= sendLimit(fleetSize); });
+    return taken;
+}
+
+} // namespace fleet
