Add the client of the platform's key-value service and its stand-in

Cause: configuration, operation records and drafts live in the platform's service; tests need one that fails on order. Ruled out: repeating a call on the next endpoint whatever happened, which runs a write twice (below). Change: kv_client (transactions, ranges, leases) and kv_watch over etcd's v3 JSON gateway as published, with the outcome of a write kept as Done, NotSent or Unknown; standin-kv with pause, slow, down, dropped and late writes.

--- a/cmake/LycheefrontTargets.cmake
+++ b/cmake/LycheefrontTargets.cmake
@@ -26,6 +26,9 @@
 
 add_library(lycheefront_flags INTERFACE)
 target_compile_options(lycheefront_flags INTERFACE -Wall -Wextra -Werror)
+# g++ 12 sees through the allocation of Asio's coroutine frames but not through their release, and takes the
+# pair for a mismatch. The sanitizer build checks the same at run time (alloc_dealloc_mismatch).
+target_compile_options(lycheefront_flags INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 target_compile_definitions(lycheefront_flags INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_IO_URING)
 if(LYCHEEFRONT_SANITIZE)
     target_compile_options(lycheefront_flags INTERFACE -fsanitize=${LYCHEEFRONT_SANITIZE} -fno-omit-frame-pointer)
--- a/src/libs/platform/kvtypes.h
+++ b/src/libs/platform/kvtypes.h
@@ -71,4 +71,19 @@
     std::int64_t ttlSeconds = 0; ///< 0: the lease is gone
 };
 
+/// One change that a watch reports.
+struct kv_event {
+    bool isDelete = false;
+    kv_entry entry; ///< for a delete: key and modRevision only
+};
+
+/// What a watch reports at once.
+struct kv_watch_batch {
+    std::int64_t revision = 0; ///< the service's revision at the report
+    std::vector<kv_event> events;
+    /// Not 0: revisions up to this one are gone, so changes were missed; read the keys anew.
+    std::int64_t compactedTo = 0;
+    bool isCancelled = false; ///< the service or the owner ended the watch
+};
+
 } // namespace platform
--- /dev/null
+++ b/tests/auto/platform/tst_kvclient.cpp
@@ -0,0 +1,280 @@
+#include "kvstandin/kvserver.h"
+#include "platform/kvclient.h"
+#include "platform/kvjson.h"
+#include "platform/kvwatch.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+
+using namespace platform;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto callTimeout = std::chrono::milliseconds(300);
+
+/// A stand-in and a client on one io_context, on ports that the system picks.
+struct fixture {
+    asio::io_context context { 1 };
+    kvstandin::kv_server server { context.get_executor(), 0, 0 };
+    kv_client client { context.get_executor(), { endpointOf(server.port()) }, callTimeout };
+
+    static asio::ip::tcp::endpoint endpointOf(std::uint16_t port)
+    {
+        return { asio::ip::address_v4::loopback(), port };
+    }
+
+    /// Runs the coroutine to its end.
+    void run(const std::function<asio::awaitable<void>()>& body)
+    {
+        std::exception_ptr failure;
+        asio::co_spawn(context, body, [&](const std::exception_ptr& e) {
+            failure = e;
+            context.stop();
+        });
+        context.run();
+        context.restart();
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
+    asio::awaitable<void> wait(std::chrono::milliseconds time)
+    {
+        asio::steady_timer timer(context, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+};
+
+kv_transaction putIfAbsent(const std::string& key, const std::string& value)
+{
+    return { { { key, 0 } }, { kv_put { key, value, 0 } }, { kv_get { key, {}, 0 } } };
+}
+
+kv_transaction put(const std::string& key, const std::string& value, std::int64_t lease = 0)
+{
+    return { {}, { kv_put { key, value, lease } }, {} };
+}
+
+kv_transaction erase(const std::string& key)
+{
+    return { {}, { kv_delete { key } }, {} };
+}
+
+kv_get keyOf(const std::string& key)
+{
+    return { key, {}, 0 };
+}
+
+kv_watch_options watchOf(const std::string& key, std::int64_t fromRevision)
+{
+    return { key, prefixEnd(key), fromRevision, callTimeout, callTimeout };
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(kv_client_calls, fixture)
+
+BOOST_AUTO_TEST_CASE(compare_and_swap_lets_one_of_two_win)
+{
+    run([&]() -> asio::awaitable<void> {
+        const kv_reply first = co_await client.transact(putIfAbsent("k", "one"));
+        const kv_reply second = co_await client.transact(putIfAbsent("k", "two"));
+        BOOST_TEST((first.status == kv_status::Done && first.succeeded));
+        BOOST_TEST((second.status == kv_status::Done && !second.succeeded));
+        BOOST_TEST_REQUIRE(second.entries.size() == 1u);
+        BOOST_TEST(second.entries[0].value == "one");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(range_reads_every_key_of_a_prefix)
+{
+    run([&]() -> asio::awaitable<void> {
+        for (const char* key : { "/p/a", "/p/b", "/q/c" })
+            co_await client.transact(put(key, "v"));
+        const kv_get all { "/p/", prefixEnd("/p/"), 0 };
+        const kv_reply found = co_await client.get(all);
+        BOOST_TEST(found.entries.size() == 2u);
+        const kv_reply none = co_await client.get(keyOf("/none"));
+        BOOST_TEST((none.status == kv_status::Done && none.entries.empty()));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_is_not_sent)
+{
+    // The service is down and refuses connections. The caller must hear that nothing was written, so that
+    // it may say "not run" and so that another endpoint may be tried with the same write.
+    run([&]() -> asio::awaitable<void> {
+        server.goDown();
+        const kv_reply reply = co_await client.transact(put("k", "v"));
+        BOOST_TEST((reply.status == kv_status::NotSent));
+        server.comeUp();
+        const kv_reply after = co_await client.get(keyOf("k"));
+        BOOST_TEST((after.status == kv_status::Done && after.entries.empty()));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(lost_answer_of_a_write_is_unknown_and_the_write_is_not_repeated)
+{
+    // The service runs the write, then the connection breaks before the answer. A client that repeats the
+    // write on its second endpoint would run it twice; one that reports a failure would be wrong, too.
+    run([&]() -> asio::awaitable<void> {
+        kv_client two(
+            context.get_executor(), { endpointOf(server.port()), endpointOf(server.port()) }, callTimeout);
+        server.faults().dropAnswers = 1;
+        const kv_reply reply = co_await two.transact(put("k", "v"));
+        BOOST_TEST((reply.status == kv_status::Unknown));
+        BOOST_TEST(server.counters().transaction == 1u);
+        BOOST_TEST((co_await two.get(keyOf("k"))).entries.size() == 1u);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(paused_service_makes_a_write_unknown_within_the_timeout)
+{
+    // The service stops in the middle of a call and goes on later: the write that the caller gave up
+    // takes effect after all.
+    run([&]() -> asio::awaitable<void> {
+        co_await client.get(keyOf("k"));
+        server.pause();
+        const kv_reply reply = co_await client.transact(put("k", "v"));
+        BOOST_TEST((reply.status == kv_status::Unknown));
+        server.resume();
+        BOOST_TEST((co_await client.get(keyOf("k"))).entries.size() == 1u);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(closed_idle_connection_does_not_make_a_write_unknown)
+{
+    // The service restarts between two calls. The kept connection is dead; a write sent on it would end
+    // as "unknown" though the service never saw it.
+    run([&]() -> asio::awaitable<void> {
+        co_await client.get(keyOf("k"));
+        server.goDown();
+        server.comeUp();
+        co_await wait(std::chrono::milliseconds(1));
+        const kv_reply reply = co_await client.transact(put("k", "v"));
+        BOOST_TEST((reply.status == kv_status::Done && reply.succeeded));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(second_endpoint_answers_when_the_first_is_down)
+{
+    run([&]() -> asio::awaitable<void> {
+        kvstandin::kv_server other(context.get_executor(), 0, 0);
+        kv_client two(
+            context.get_executor(), { endpointOf(server.port()), endpointOf(other.port()) }, callTimeout);
+        server.goDown();
+        const kv_reply reply = co_await two.transact(put("k", "v"));
+        BOOST_TEST((reply.status == kv_status::Done && reply.succeeded));
+        other.stop();
+        co_await wait(std::chrono::milliseconds(1));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(lease_ends_its_keys)
+{
+    run([&]() -> asio::awaitable<void> {
+        const kv_lease_reply lease = co_await client.grantLease(60);
+        BOOST_TEST_REQUIRE((lease.status == kv_status::Done && lease.id != 0));
+        co_await client.transact(put("k", "v", lease.id));
+        BOOST_TEST((co_await client.keepLease(lease.id)).ttlSeconds == 60);
+        BOOST_TEST(((co_await client.revokeLease(lease.id)).status == kv_status::Done));
+        BOOST_TEST((co_await client.get(keyOf("k"))).entries.empty());
+        BOOST_TEST((co_await client.keepLease(lease.id)).ttlSeconds == 0);
+        BOOST_TEST(((co_await client.revokeLease(lease.id)).status == kv_status::Done));
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(kv_watch_stream, fixture)
+
+BOOST_AUTO_TEST_CASE(changes_arrive_from_the_wanted_revision_on)
+{
+    run([&]() -> asio::awaitable<void> {
+        co_await client.transact(put("/c/a", "1"));
+        const kv_reply second = co_await client.transact(put("/c/a", "2"));
+        kv_watch watch(context.get_executor(), client.endpoints(), watchOf("/c/", second.revision));
+        const kv_watch_batch batch = co_await watch.next();
+        BOOST_TEST_REQUIRE(batch.events.size() == 1u);
+        BOOST_TEST(batch.events[0].entry.value == "2");
+        co_await client.transact(erase("/c/a"));
+        BOOST_TEST((co_await watch.next()).events.at(0).isDelete);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(outage_loses_no_change_and_repeats_none)
+{
+    // The stream breaks, changes are made, the service comes back: the watcher must report each change
+    // once, else a node would stay on an old configuration until the next one.
+    run([&]() -> asio::awaitable<void> {
+        kv_watch watch(context.get_executor(), client.endpoints(), watchOf("k", 1));
+        co_await client.transact(put("k", "1"));
+        BOOST_TEST((co_await watch.next()).events.at(0).entry.value == "1");
+        server.goDown();
+        server.store().transact(put("k", "2"), {});
+        server.store().transact(put("k", "3"), {});
+        server.comeUp();
+        const kv_watch_batch batch = co_await watch.next();
+        BOOST_TEST_REQUIRE(batch.events.size() == 2u);
+        BOOST_TEST(batch.events[0].entry.value == "2");
+        BOOST_TEST(batch.events[1].entry.value == "3");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(silent_stream_is_opened_anew)
+{
+    // The service's machine vanishes without a word: the connection stays open and silent. The watcher
+    // gives the stream up after its silence limit and hears the change on a new one.
+    run([&]() -> asio::awaitable<void> {
+        kv_watch watch(context.get_executor(), client.endpoints(), watchOf("k", 1));
+        co_await client.transact(put("k", "1"));
+        co_await watch.next();
+        server.pause();
+        server.store().transact(put("k", "2"), {});
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                co_await wait(2 * callTimeout);
+                server.resume();
+            },
+            asio::detached);
+        BOOST_TEST((co_await watch.next()).events.at(0).entry.value == "2");
+        BOOST_TEST(server.counters().watch >= 2u);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(compacted_history_is_reported)
+{
+    run([&]() -> asio::awaitable<void> {
+        co_await client.transact(put("k", "1"));
+        co_await client.transact(put("k", "2"));
+        server.store().compact(server.store().revision());
+        kv_watch watch(context.get_executor(), client.endpoints(), watchOf("k", 1));
+        BOOST_TEST((co_await watch.next()).compactedTo > 0);
+        co_await client.transact(put("k", "3"));
+        BOOST_TEST((co_await watch.next()).events.at(0).entry.value == "3");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_watch_ends)
+{
+    run([&]() -> asio::awaitable<void> {
+        kv_watch watch(context.get_executor(), client.endpoints(), watchOf("k", 0));
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                co_await wait(std::chrono::milliseconds(20));
+                watch.cancel();
+            },
+            asio::detached);
+        BOOST_TEST((co_await watch.next()).isCancelled);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
