--- a/src/libs/decisions/teamlimiter.cpp
+++ b/src/libs/decisions/teamlimiter.cpp
@@ -14,6 +14,7 @@
 constexpr utils::duration whenSlotsAreOut = std::chrono::seconds(1);
 // A request that waits for a lump may ask so much sooner than one that tops up.
 constexpr int urgentFactor = 10;
+constexpr unsigned mostDoublings = 3;
 
 bool isLimited(const fleet_limit& limit)
 {
@@ -200,10 +201,17 @@
     return {};
 }
 
+utils::duration team_limiter::answerTimeout(const team_state& state) const
+{
+    // Doubled with each try: a later request voids the answer to an earlier one, so over a slow network a
+    // fixed time would void every answer.
+    return m_limits.answerWithin * (1 << std::min(state.unanswered, mostDoublings));
+}
+
 bool team_limiter::wantsToAsk(const team_state& state, utils::time_point now) const
 {
     if (!state.isAnswered)
-        return now >= *state.sentAt + m_limits.answerWithin;
+        return now >= *state.sentAt + answerTimeout(state);
     if (now < state.deniedUntil)
         return false;
     const bool isWaiting = state.waiting > 0 && !isOnStaticShare(state, now);
--- a/src/libs/decisions/teamlimiter.h
+++ b/src/libs/decisions/teamlimiter.h
@@ -13,7 +13,7 @@
 /// Settings of the borrower's side.
 struct team_limiter_limits {
     utils::duration askEvery = std::chrono::milliseconds(500); ///< per team: bounds the control traffic
-    utils::duration answerWithin = std::chrono::milliseconds(200); ///< then the home is asked again
+    utils::duration answerWithin = std::chrono::milliseconds(200); ///< then the home is asked again; doubles
     unsigned unanswered = 3; ///< asked so often without an answer, the home counts as out of reach
     utils::duration horizon = std::chrono::seconds(1); ///< a lump should last this long
     utils::duration forgetAfter = std::chrono::seconds(30); ///< without traffic a team's state goes
@@ -103,6 +103,7 @@
     static limit_answer admitFromLump(team_state& state, std::uint64_t hash, utils::time_point now);
     limit_answer admitFromShare(
         const utils::team_id& team, team_state& state, std::uint64_t hash, utils::time_point now) const;
+    utils::duration answerTimeout(const team_state& state) const;
     bool wantsToAsk(const team_state& state, utils::time_point now) const;
     void measureDemand(team_state& state, utils::time_point now) const;
     std::uint32_t neededRequests(const team_state& state) const;
