--- a/src/libs/config/documentparser.cpp
+++ b/src/libs/config/documentparser.cpp
@@ -1,6 +1,7 @@
 #include "documentparser.h"
 
 #include "documentchecks.h"
+#include "fieldformats.h"
 #include "yamlobject.h"
 
 namespace config {
@@ -143,24 +144,60 @@
     root.refuseOthers();
 }
 
-/// Reads one section into the document. False for a name that is no section's.
-bool readSection(const std::string& name, const std::string& text, yaml_context& context, document& into)
+enum class section_kind {
+    Operator,
+    Team,
+    Pool
+};
+
+struct section_name {
+    section_kind kind = section_kind::Operator;
+    std::string id;
+};
+
+std::optional<section_name> parseName(const std::string& name)
 {
     const std::size_t slash = name.find('/');
-    if (slash == std::string::npos)
-        return false;
-    const std::string kind = name.substr(0, slash);
+    if (slash == std::string::npos || !isName(std::string_view(name).substr(slash + 1)))
+        return std::nullopt;
     const std::string id = name.substr(slash + 1);
-    yaml_object section = yaml_object::fromText(text, kind + '.' + id, context);
-    if (kind == "operators")
-        into.operators.emplace(id, readOperator(id, section));
-    else if (kind == "teams")
-        into.teams.emplace(utils::team_id(id), readTeam(id, section));
-    else if (kind == "pools")
-        into.pools.emplace(utils::pool_id(id), readPool(id, section));
-    else
-        return false;
-    return true;
+    if (name.starts_with("operators/"))
+        return section_name { section_kind::Operator, id };
+    if (name.starts_with("teams/"))
+        return section_name { section_kind::Team, id };
+    if (name.starts_with("pools/"))
+        return section_name { section_kind::Pool, id };
+    return std::nullopt;
+}
+
+void eraseSection(document& whole, const section_name& name)
+{
+    switch (name.kind) {
+    case section_kind::Operator:
+        whole.operators.erase(name.id);
+        return;
+    case section_kind::Team:
+        whole.teams.erase(utils::team_id(name.id));
+        return;
+    case section_kind::Pool:
+        whole.pools.erase(utils::pool_id(name.id));
+        return;
+    }
+}
+
+void readSection(document& whole, const section_name& name, yaml_object& section)
+{
+    switch (name.kind) {
+    case section_kind::Operator:
+        whole.operators[name.id] = readOperator(name.id, section);
+        return;
+    case section_kind::Team:
+        whole.teams[utils::team_id(name.id)] = readTeam(name.id, section);
+        return;
+    case section_kind::Pool:
+        whole.pools[utils::pool_id(name.id)] = readPool(name.id, section);
+        return;
+    }
 }
 
 } // namespace
@@ -190,15 +227,32 @@
     return parsed;
 }
 
+std::vector<problem> replaceSection(
+    document& whole, const std::string& name, const std::optional<std::string>& text)
+{
+    yaml_context context(name);
+    const std::optional<section_name> parsed = parseName(name);
+    if (!parsed) {
+        context.reportAt("", "there is no such section");
+        return context.problems();
+    }
+    if (!text) {
+        eraseSection(whole, *parsed);
+        return {};
+    }
+    const std::string path = name.substr(0, name.find('/')) + '.' + parsed->id;
+    yaml_object section = yaml_object::fromText(*text, path, context);
+    readSection(whole, *parsed, section);
+    return context.problems();
+}
+
 parsed_document parseSections(const section_texts& sections, utils::config_revision revision)
 {
     parsed_document parsed;
     parsed.value.revision = revision;
     for (const auto& [name, text] : sections) {
-        yaml_context context(name);
-        if (!readSection(name, text, context, parsed.value))
-            context.reportAt("", "there is no such section");
-        parsed.problems.insert(parsed.problems.end(), context.problems().begin(), context.problems().end());
+        const std::vector<problem> found = replaceSection(parsed.value, name, text);
+        parsed.problems.insert(parsed.problems.end(), found.begin(), found.end());
     }
     if (!parsed.problems.empty())
         return parsed;
--- a/src/libs/config/documentparser.h
+++ b/src/libs/config/documentparser.h
@@ -4,6 +4,7 @@
 #include "problem.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
 /// Thread safe.
 parsed_document parsePartialDocument(const std::string& yaml, const std::string& file);
 
+/// Replaces one section of the document, or deletes it when there is no text. The problems of its text;
+/// the checks across sections are the caller's. Thread safe.
+std::vector<problem> replaceSection(
+    document& whole, const std::string& name, const std::optional<std::string>& text);
+
 /// Puts a document together from its sections and checks it as a whole; a problem's file is the
 /// section's name. Thread safe.
 parsed_document parseSections(const section_texts& sections, utils::config_revision revision);
--- a/src/libs/config/documentwriter.cpp
+++ b/src/libs/config/documentwriter.cpp
@@ -100,7 +100,7 @@
     out << YAML::EndMap;
 }
 
-template <class Entry> std::string sectionText(const Entry& entry)
+template <class Entry> std::string emit(const Entry& entry)
 {
     YAML::Emitter out;
     out.SetDoublePrecision(numberPrecision);
@@ -121,6 +121,21 @@
 
 } // namespace
 
+std::string sectionText(const operator_entry& entry)
+{
+    return emit(entry);
+}
+
+std::string sectionText(const calling_team& team)
+{
+    return emit(team);
+}
+
+std::string sectionText(const server_pool& pool)
+{
+    return emit(pool);
+}
+
 section_texts toSections(const document& whole)
 {
     section_texts sections;
