Serve callers: entry, home, operation host, peer streams, engine and service stand-ins

Cause: the parts that decide had nothing that moves bytes. Ruled out: one type of answer sink by base class (the house style asks for concepts; three sinks are instantiated in one unit each); multiplexing requests on one peer stream (TCP's own flow control is the backpressure when one request travels at a time). Change: callers' HTTP side, router at the entry node, home service with ledger and fair queue, operation host that carries out what the operation machine asks, authenticated frames between nodes, spans, metrics, daemon. Found on the way: GCC 12 destroys temporaries twice when co_await stands inside ?: or && (double free, then an illegal instruction on the first streamed answer); co_await now stands alone in its statement.

--- /dev/null
+++ b/src/libs/serving/callerserver.cpp
@@ -0,0 +1,43 @@
+#include "callerserver.h"
+
+#include "acceptloop.h"
+
+namespace serving {
+
+namespace asio = boost::asio;
+
+caller_server::caller_server(node_context& context, router& routes, asio::ssl::context* tls)
+    : m_context(context)
+    , m_router(routes)
+    , m_tls(tls)
+    , m_acceptor(context.executor)
+{
+}
+
+void caller_server::start(const asio::ip::tcp::endpoint& endpoint)
+{
+    m_acceptor = listenOn(m_context.executor, endpoint);
+    asio::co_spawn(m_context.executor,
+        acceptLoop(m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }),
+        asio::detached);
+}
+
+void caller_server::leave()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (caller_session* session : m_sessions)
+        session->leave();
+}
+
+asio::awaitable<void> caller_server::session(asio::ip::tcp::socket socket)
+{
+    net_stream stream
+        = m_tls == nullptr ? net_stream(std::move(socket)) : net_stream(std::move(socket), *m_tls);
+    const auto session = std::make_shared<caller_session>(m_context, m_router, std::move(stream));
+    m_sessions.insert(session.get());
+    co_await session->run();
+    m_sessions.erase(session.get());
+}
+
+} // namespace serving
--- /dev/null
+++ b/src/libs/serving/homeslot.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "decisions/fairqueue.h"
+#include "decisions/homeledger.h"
+#include "decisions/poisonregister.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace serving {
+
+/// A request that waits for a slot; lives in the waiting coroutine's frame.
+struct slot_waiter {
+    explicit slot_waiter(const boost::asio::any_io_executor& executor)
+        : wake(executor, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    boost::asio::steady_timer wake;
+    bool isAdmitted = false;
+    bool holdsCache = false;
+    bool mustRunAlone = false; ///< a poison suspect
+    std::optional<utils::failure> refusal;
+};
+
+/// A request on its way through the backend server, for naming suspects when the server crashes.
+struct in_flight_request {
+    decisions::body_digest digest;
+    utils::time_point startedAt;
+};
+
+/// What a home node keeps for one backend server: the exact count, the queue, and who waits.
+struct home_slot {
+    home_slot(const utils::node_id& self, unsigned slots, decisions::fair_queue_limits limits)
+        : ledger(self, slots)
+        , queue(limits)
+    {
+    }
+
+    decisions::home_ledger ledger;
+    decisions::fair_queue queue;
+    std::map<decisions::entry_id, slot_waiter*> waiters;
+    std::map<decisions::entry_id, in_flight_request> inFlight;
+    /// Requests whose connection broke a moment ago: if the server turns out to have crashed, suspects.
+    std::vector<in_flight_request> brokenLately;
+    bool isProbingCrash = false;
+    std::optional<decisions::entry_id> aloneFor; ///< a poison suspect has the server to itself
+};
+
+} // namespace serving
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -23,6 +23,8 @@
     event_info { event::RequestDone, Info, "request_done", "A request has its whole answer" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info { event::ServerFailure, Warning, "server_failure", "A backend server failed a request" },
+    event_info {
+        event::ServerCrashed, Warning, "server_crashed", "A backend server crashed with requests in flight" },
     event_info { event::PlatformFailure, Warning, "platform_failure", "A call to the platform failed" },
 };
 
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -27,6 +27,7 @@
     RequestDone = 4001,
     RequestRefused = 4002,
     ServerFailure = 6001,
+    ServerCrashed = 6002,
     PlatformFailure = 7001,
 };
 
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -21,7 +21,7 @@
     std::string value;
 };
 
-/// Sets format and lowest severity for the process; lines go to standard error. Not thread safe: call
+/// Sets format and lowest severity for the process; lines go to standard output. Not thread safe: call
 /// once at start.
 void configureLog(log_format format, severity lowest);
 /// Writes one line: time, number, name, message and the fields. Thread safe.
