Add the operators' API: check, apply, get, diff, history, approvals, drain, status

Cause: operators drive the fleet through any node and must see what a node knows and what the head says. Ruled out: an API of single fields; the document with its sections is what teams own and edit. Change: operator_api answers requests over config_access and node_view, which the daemon implements; config_store is a config_access. parseDocumentOver checks a file that holds only some sections on top of the document in force, so that its problems carry lines. apply names the nodes that have the revision in force.

--- a/src/libs/config/documentparser.cpp
+++ b/src/libs/config/documentparser.cpp
@@ -212,12 +212,15 @@
     return parsed;
 }
 
-parsed_document parseDocument(const std::string& yaml, const std::string& file)
+parsed_document parseDocumentOver(const std::string& yaml, const std::string& file, const document& base)
 {
     yaml_context context(file);
     parsed_document parsed;
     yaml_object root = yaml_object::fromText(yaml, "", context);
     readDocument(root, parsed.value);
+    parsed.value.operators.insert(base.operators.begin(), base.operators.end());
+    parsed.value.teams.insert(base.teams.begin(), base.teams.end());
+    parsed.value.pools.insert(base.pools.begin(), base.pools.end());
     // A text that could not be read would only be followed by faults that the reader already explains.
     if (context.problems().empty()) {
         for (const document_fault& fault : checkDocument(parsed.value))
@@ -227,6 +230,11 @@
     return parsed;
 }
 
+parsed_document parseDocument(const std::string& yaml, const std::string& file)
+{
+    return parseDocumentOver(yaml, file, {});
+}
+
 std::vector<problem> replaceSection(
     document& whole, const std::string& name, const std::optional<std::string>& text)
 {
--- a/src/libs/config/documentparser.h
+++ b/src/libs/config/documentparser.h
@@ -27,6 +27,10 @@
 /// Thread safe.
 parsed_document parsePartialDocument(const std::string& yaml, const std::string& file);
 
+/// Reads a document that may hold only some sections, puts them over `base` and checks the whole. Thread
+/// safe.
+parsed_document parseDocumentOver(const std::string& yaml, const std::string& file, const document& base);
+
 /// Replaces one section of the document, or deletes it when there is no text. The problems of its text;
 /// the checks across sections are the caller's. Thread safe.
 std::vector<problem> replaceSection(
--- /dev/null
+++ b/src/libs/operators/operatorjson.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "nodeview.h"
+
+#include "config/changerequest.h"
+#include "config/confighead.h"
+#include "config/problem.h"
+
+#include <boost/json/object.hpp>
+
+namespace operators {
+
+/// Bodies of the operators' API; lycheefrontctl renders them. Thread safe.
+boost::json::object toJson(const config::problem& p);
+boost::json::array toJson(const std::vector<config::problem>& problems);
+boost::json::object toJson(const config::change_record& record);
+boost::json::object toJson(const node_status& node);
+boost::json::object toJson(const server_status& server);
+boost::json::object toJson(const queue_status& queue);
+boost::json::object toJson(const fleet_status& status);
+boost::json::object toJson(const spread_status& status);
+boost::json::object toJson(const draft_status& draft);
+/// problem+json with what else an operator needs to mend the matter.
+boost::json::object toProblem(const config::change_outcome& outcome);
+boost::json::object toProblem(const utils::failure& failure);
+
+} // namespace operators
--- a/src/libs/platform/configstore.h
+++ b/src/libs/platform/configstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configaccess.h"
 #include "keyvalue.h"
 #include "kvjson.h"
 
@@ -29,12 +30,6 @@
         } -> std::same_as<boost::asio::awaitable<void>>;
 };
 
-/// What reading the configuration gave.
-struct snapshot_reply {
-    config::snapshot_pointer snapshot; ///< null if the read failed
-    std::string error;
-};
-
 /// The operators' configuration in the platform's service: one head, and values named by their hashes.
 ///
 ///     <prefix>config/head          revision, hash of each list of sections, short history
@@ -43,7 +38,7 @@
 /// A change that nobody races costs two calls: the read of the head and one transaction. Not thread safe;
 /// several changes may run at once on one executor. Preconditions: the key-value client, clock and chart
 /// outlive this.
-template <key_value Store, waiting_clock Clock> class config_store {
+template <key_value Store, waiting_clock Clock> class config_store final : public config_access {
 public:
     config_store(Store& store, Clock& clock, std::string prefix, const utils::state_chart& chart,
         config::change_settings settings = {})
@@ -58,7 +53,7 @@
     /// The key that a watch follows.
     std::string headKey() const { return m_prefix + "head"; }
     /// The newest snapshot read, accepted or handed over; one without revision before the first.
-    const config::snapshot_pointer& cached() const { return m_cached; }
+    const config::snapshot_pointer& cached() const override { return m_cached; }
     /// Takes a snapshot that came from a peer, so that the next read fetches only what is newer.
     void offer(const config::snapshot_pointer& snapshot)
     {
@@ -68,7 +63,7 @@
 
     /// Reads the present configuration: one call if the head has not moved, else two or three more, and a
     /// page for each 100 values that changed.
-    boost::asio::awaitable<snapshot_reply> read()
+    boost::asio::awaitable<snapshot_reply> read() override
     {
         constexpr int tries = 5; // a change between two calls deletes values that the older head names
         snapshot_reply reply;
@@ -86,7 +81,7 @@
     }
 
     /// Takes a change into the head, see config::config_change.
-    boost::asio::awaitable<config::change_outcome> change(config::change_request request)
+    boost::asio::awaitable<config::change_outcome> change(config::change_request request) override
     {
         config::config_change machine(*m_chart, m_settings, std::move(request));
         config::change_actions actions = machine.start(m_clock->now());
