--- a/src/libs/operations/draft.cpp
+++ b/src/libs/operations/draft.cpp
@@ -54,6 +54,7 @@
         { "writeProgress", &draft::writeProgress },
         { "writeOutcome", &draft::writeOutcome },
         { "keepExhausted", &draft::keepExhausted },
+        { "sealSlot", &draft::sealSlot },
         { "releaseClaim", &draft::releaseClaim },
         { "retryLater", &draft::retryLater },
         { "restLater", &draft::restLater },
@@ -167,7 +168,8 @@
     m_retryDelay = m_settings.retryFirst;
     if (what == pending::List)
         return eventOfTeam(reply);
-    if (what == pending::Accept || state() == "reading_back")
+    const bool isSealed = what == pending::Seal && reply.succeeded;
+    if (what == pending::Accept || state() == "reading_back" || (what == pending::Seal && !isSealed))
         return eventOfAccept(reply);
     if (what == pending::Read)
         return eventOfDraft(reply);
@@ -186,10 +188,16 @@
         return findEntry(reply, draftTeamKey(m_request.team, m_record.teamSlot)) == nullptr ? "found_absent"
                                                                                             : "team_taken";
     const std::optional<draft_record> found = decodeDraftRecord(entry->value);
-    if (!found || found->id != m_record.id)
+    const bool isOwnNonce = found && found->nonce == m_identity.nonce;
+    const bool isSealed = found && found->state == draft_state::Sealed;
+    if (isSealed && isOwnNonce && state() == "sealing")
+        return "written";
+    if (!found || found->id != m_record.id || isSealed)
         return m_probes >= m_settings.maxProbes ? "slots_full" : "slot_taken";
-    if (found->nonce != m_identity.nonce)
+    if (!isOwnNonce)
         return "found_earlier";
+    if (found->state != draft_state::Waiting)
+        return "accepted";
     m_revision = entry->modRevision;
     // Another node may have adopted it meanwhile.
     return found->claimNonce == m_record.claimNonce ? accepted : "accepted";
@@ -391,10 +399,26 @@
     m_record.failure = why;
 }
 
+void draft::sealSlot(utils::time_point /*now*/)
+{
+    m_limit = utils::time_point::max();
+    draft_record sealed = m_record;
+    sealed.state = draft_state::Sealed;
+    sealed.body.clear();
+    platform::kv_transaction transaction;
+    transaction.compares = { { draftKey(m_slot), 0 } };
+    transaction.onSuccess.emplace_back(
+        platform::kv_put { draftKey(m_slot), encode(sealed), m_identity.answerLease });
+    transact(pending::Seal, std::move(transaction));
+}
+
 void draft::releaseClaim(utils::time_point /*now*/)
 {
+    draft_record released = m_record;
+    released.claimNonce.clear();
     platform::kv_transaction transaction;
     transaction.compares = { { draftKey(m_slot), m_revision } };
+    transaction.onSuccess.emplace_back(platform::kv_put { draftKey(m_slot), encode(released), 0 });
     transaction.onSuccess.emplace_back(platform::kv_delete { draftClaimKey(m_slot) });
     transact(pending::Release, std::move(transaction));
 }
--- a/src/libs/operations/draft.h
+++ b/src/libs/operations/draft.h
@@ -115,6 +115,7 @@
         Claim,
         Progress,
         Finish,
+        Seal,
         Release
     };
 
@@ -135,6 +136,7 @@
     void writeProgress(utils::time_point now);
     void writeOutcome(utils::time_point now);
     void keepExhausted(utils::time_point now);
+    void sealSlot(utils::time_point now);
     void releaseClaim(utils::time_point now);
     void retryLater(utils::time_point now);
     void restLater(utils::time_point now);
--- a/src/libs/operations/draftrecord.cpp
+++ b/src/libs/operations/draftrecord.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> stateNames { "waiting", "done", "failed", "cancelled" };
+constexpr std::array<std::string_view, 5> stateNames { "waiting", "done", "failed", "cancelled", "sealed" };
 
 std::string number(unsigned value)
 {
@@ -170,7 +170,8 @@
     if (reply.entries.empty())
         return utils::fail(utils::error_kind::DraftUnknown, {});
     std::optional<draft_record> record = decodeDraftRecord(reply.entries.front().value);
-    if (!record || record->id != id || record->team != team)
+    const bool isOther = !record || record->id != id || record->team != team;
+    if (isOther || record->state == draft_state::Sealed)
         return utils::fail(utils::error_kind::DraftUnknown, {});
     return *std::move(record);
 }
--- a/src/libs/operations/draftrecord.h
+++ b/src/libs/operations/draftrecord.h
@@ -17,10 +17,11 @@
     Waiting, ///< accepted: runs, or will
     Done,
     Failed, ///< has its final answer, an error
-    Cancelled
+    Cancelled,
+    Sealed ///< never accepted: keeps a lost write from taking effect in this slot
 };
 
-/// "waiting", "done", "failed" or "cancelled". Thread safe.
+/// "waiting", "done", "failed", "cancelled" or "sealed". Thread safe.
 std::string_view toString(draft_state state);
 
 /// One draft in the platform, under draftKey(slot).
--- a/tests/auto/operations/benchnodes.cpp
+++ b/tests/auto/operations/benchnodes.cpp
@@ -1,5 +1,6 @@
 #include "benchnodes.h"
 
+#include <algorithm>
 #include <utility>
 
 void bench_nodes::pause(std::size_t node)
@@ -14,6 +15,12 @@
         callback();
 }
 
+void bench_nodes::resumeNewestFirst(std::size_t node)
+{
+    std::ranges::reverse(m_nodes.at(node).heldBack);
+    resume(node);
+}
+
 void bench_nodes::kill(std::size_t node)
 {
     node_state& at = m_nodes.at(node);
--- a/tests/auto/operations/benchnodes.h
+++ b/tests/auto/operations/benchnodes.h
@@ -21,6 +21,8 @@
 
     void pause(std::size_t node);
     void resume(std::size_t node);
+    /// Resumes with what came last handled first: a process that wakes may read its sockets in any order.
+    void resumeNewestFirst(std::size_t node);
     void kill(std::size_t node);
     void restart(std::size_t node);
     /// Runs the callback in that process as soon as it runs, unless it has ended since `boot`.
--- /dev/null
+++ b/tests/auto/operations/placerbench.cpp
@@ -0,0 +1,157 @@
+#include "placerbench.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+placer_bench::placer_bench(const utils::state_chart& chart, std::size_t nodes, bool honoursFencing,
+    const std::vector<std::string>& models)
+    : m_nodes(nodes)
+    , m_honoursFencing(honoursFencing)
+    , m_placers(nodes)
+{
+    for (const char* name : { "engine-1", "engine-2", "engine-3" })
+        m_engines[utils::server_id(name)].running = { "none", "0", {}, operations::engine_role::Mixed };
+    for (std::size_t node = 0; node < nodes; ++node) {
+        const operations::placer_identity identity { models[node % models.size()],
+            "placer-" + std::to_string(node), honoursFencing, static_cast<unsigned>(node) };
+        m_placers[node].machine = std::make_unique<operations::model_placer>(chart, settings, identity);
+        m_placers[node].lease = m_kv.grantLease(leaseTime);
+        m_placers[node].leaseEnd = leaseTime + m_time.now();
+        m_time.after(std::chrono::milliseconds(node * 10), [this, node] {
+            give(node, [this, node](operations::model_placer& p) {
+                return p.start(m_placers[node].lease, m_placers[node].leaseEnd, m_time.now());
+            });
+            tickNode(node);
+        });
+    }
+}
+
+void placer_bench::tickNode(std::size_t node)
+{
+    m_nodes.deliver(node, m_nodes.boot(node), [this, node] {
+        placer_state& state = m_placers[node];
+        const utils::time_point end = m_time.now() + leaseTime;
+        if (m_time.now() >= state.leaseEnd) {
+            give(node, [this](operations::model_placer& p) { return p.leaseLost(m_time.now()); });
+            if (m_kv.fate({}) == kv_fate::Answered) {
+                state.lease = m_kv.grantLease(leaseTime);
+                state.leaseEnd = end;
+                state.machine->leaseGranted(state.lease, end);
+            }
+        } else if (m_kv.keepLease(state.lease)) {
+            state.leaseEnd = end;
+            state.machine->leaseKept(end);
+        }
+        m_time.after(tick, [this, node] { tickNode(node); });
+    });
+}
+
+void placer_bench::setWanted(
+    std::size_t node, const std::string& version, const std::set<std::string>& adapters)
+{
+    operations::engine_setups wanted;
+    for (const auto& [server, engine] : m_engines)
+        wanted[server] = { "thesis-summary", version, adapters, operations::engine_role::Mixed };
+    give(node, [this, wanted](operations::model_placer& p) { return p.wantedChanged(wanted, m_time.now()); });
+}
+
+void placer_bench::give(std::size_t node, const machine_call& call)
+{
+    const std::uint64_t boot = m_nodes.boot(node);
+    m_nodes.deliver(node, boot, [this, node, boot, call] {
+        beforeEvent(node);
+        // The hook may have paused or killed the node.
+        m_nodes.deliver(node, boot, [this, node, call] {
+            const operations::placer_actions actions = call(*m_placers[node].machine);
+            for (const operations::placer_action& action : actions)
+                perform(node, action);
+        });
+    });
+}
+
+void placer_bench::perform(std::size_t node, const operations::placer_action& action)
+{
+    if (const auto* kv = std::get_if<operations::kv_transact>(&action)) {
+        m_kv.call(kv->transaction, [this, node, ticket = kv->ticket](const platform::kv_reply& reply) {
+            give(node, [this, ticket, reply](operations::model_placer& p) {
+                return p.onKvReply(ticket, reply, m_time.now());
+            });
+        });
+    } else if (const auto* timer = std::get_if<operations::set_timer>(&action)) {
+        const std::uint64_t number = ++m_placers[node].timers;
+        m_time.after(timer->at - m_time.now(), [this, node, number] {
+            if (m_placers[node].timers == number)
+                give(node, [this](operations::model_placer& p) { return p.onTimer(m_time.now()); });
+        });
+    } else if (std::holds_alternative<operations::read_engines>(action)) {
+        read(node);
+    } else if (const auto* lease = std::get_if<operations::grant_lease>(&action)) {
+        const bool isUp = m_kv.fate({}) == kv_fate::Answered;
+        const std::int64_t granted = isUp ? m_kv.grantLease(std::chrono::seconds(lease->seconds)) : 0;
+        m_time.after(fake_kv::delay, [this, node, granted] {
+            give(node, [this, granted](operations::model_placer& p) {
+                return p.permitLease(granted, m_time.now());
+            });
+        });
+    } else {
+        order(node, std::get<operations::send_order>(action).order);
+    }
+}
+
+void placer_bench::read(std::size_t node)
+{
+    m_time.after(engineDelay, [this, node] {
+        operations::engine_setups running;
+        for (const auto& [server, engine] : m_engines) {
+            if (engine.isUp)
+                running[server] = engine.running;
+        }
+        give(node,
+            [this, running](operations::model_placer& p) { return p.enginesRead(running, m_time.now()); });
+    });
+}
+
+void placer_bench::order(std::size_t node, const operations::engine_order& order)
+{
+    const order_fate fate = orderFate();
+    const utils::duration reach = fate == order_fate::SlowToReach ? slowReach : engineDelay;
+    m_time.after(reach, [this, node, order, fate] {
+        give(node, [this, node, order, fate](operations::model_placer& p) -> operations::placer_actions {
+            if (!p.maySend(m_time.now()))
+                return p.orderFailed(m_time.now());
+            m_time.after(engineDelay, [this, node, order, fate] {
+                const bool isCut = fate == order_fate::CutBefore || fate == order_fate::CutAfter;
+                const bool isDone = fate != order_fate::CutBefore && carryOut(order);
+                give(node, [this, isCut, isDone](operations::model_placer& q) {
+                    if (isCut)
+                        return q.orderFailed(m_time.now());
+                    return isDone ? q.orderDone(m_time.now()) : q.orderRefused(m_time.now());
+                });
+            });
+            return {};
+        });
+    });
+}
+
+bool placer_bench::carryOut(const operations::engine_order& order)
+{
+    fake_engine& engine = m_engines.at(order.server);
+    if (!engine.isUp || (m_honoursFencing && order.fencingNumber < engine.highestNumber))
+        return false;
+    engine.highestNumber = std::max(engine.highestNumber, order.fencingNumber);
+    engine.running = order.wanted;
+    engine.numbers.push_back(order.fencingNumber);
+    engine.times.push_back(m_time.now());
+    return true;
+}
+
+void placer_bench::kill(std::size_t node)
+{
+    m_nodes.kill(node);
+}
+
+void placer_bench::leave(std::size_t node)
+{
+    give(node, [this](operations::model_placer& p) { return p.leave(m_time.now()); });
+}
--- a/tests/auto/operations/tst_draft.cpp
+++ b/tests/auto/operations/tst_draft.cpp
@@ -67,8 +67,9 @@
 
 BOOST_AUTO_TEST_CASE(a_worker_paused_past_its_lease_cannot_overwrite)
 {
-    // Node 0 is paused while it runs the draft, its lease lapses, another node runs the draft to its end and
-    // the caller cancels nothing. When node 0 wakes, its late answer fails the compare and is dropped.
+    // Node 0 is paused while it runs the draft, its lease lapses, and another node runs the draft to its end.
+    // Node 0 wakes and handles its engine's answer before it looks at its lease: the answer must fail the
+    // compare and be dropped.
     draft_bench bench(draftChart(), 2);
     bench.time().advance(1s);
     const std::size_t first = bench.send("thesis", 0);
@@ -79,7 +80,7 @@
     BOOST_REQUIRE((bench.poll(id)->state == draft_state::Done));
     const std::int64_t revision
         = bench.kv().find(operations::draftKey(*operations::slotOfDraft(id)))->modRevision;
-    bench.nodes().resume(0);
+    bench.nodes().resumeNewestFirst(0);
     bench.time().advance(60s);
     BOOST_TEST(bench.kv().find(operations::draftKey(*operations::slotOfDraft(id)))->modRevision == revision);
     BOOST_TEST(bench.workers() == 0U);
--- a/tests/auto/operations/tst_histories.cpp
+++ b/tests/auto/operations/tst_histories.cpp
@@ -158,6 +158,8 @@
     case kind::Pause:
         return bench.nodes().pause(step.node);
     case kind::Resume:
+        if (step.value % 2 == 0)
+            return bench.nodes().resumeNewestFirst(step.node);
         return bench.nodes().resume(step.node);
     case kind::Kill:
         return bench.kill(step.node);
@@ -251,6 +253,8 @@
     case kind::Pause:
         return bench.nodes().pause(step.node);
     case kind::Resume:
+        if (step.value % 2 == 0)
+            return bench.nodes().resumeNewestFirst(step.node);
         return bench.nodes().resume(step.node);
     case kind::Kill:
         return bench.kill(step.node);
