--- a/src/libs/decisions/spillmemory.cpp
+++ b/src/libs/decisions/spillmemory.cpp
@@ -53,6 +53,15 @@
         found->second->server = indexOf(to);
 }
 
+void spill_memory::forget(std::uint64_t chat)
+{
+    const auto found = m_byChat.find(chat);
+    if (found == m_byChat.end())
+        return;
+    m_byAge.erase(found->second);
+    m_byChat.erase(found);
+}
+
 void spill_memory::expire(utils::time_point now)
 {
     while (!m_byAge.empty() && now - m_byAge.front().usedAt > m_settings.life)
--- a/src/libs/decisions/spillmemory.h
+++ b/src/libs/decisions/spillmemory.h
@@ -40,6 +40,8 @@
     void forgetServer(const utils::server_id& server);
     /// The server's prefix was exported to another one. Later look-ups name the new one.
     void moved(std::uint64_t chat, const utils::server_id& to);
+    /// The chat's prefix is gone, as a cache event tells.
+    void forget(std::uint64_t chat);
     /// Forgets what has expired; call it now and then. Work: one step a forgotten chat.
     void expire(utils::time_point now);
     std::size_t size() const { return m_byChat.size(); }
