--- a/src/app/lycheefrontd/nodedaemon.cpp
+++ b/src/app/lycheefrontd/nodedaemon.cpp
@@ -1,8 +1,12 @@
 #include "nodedaemon.h"
 
+#include "daemonview.h"
+#include "operatorserver.h"
+
 #include "platform/kvclient.h"
 #include "serving/callerserver.h"
 #include "serving/clock.h"
+#include "serving/configfeed.h"
 #include "serving/connect.h"
 #include "serving/livefleet.h"
 #include "serving/peerserver.h"
@@ -84,13 +88,22 @@
         , kv(io.get_executor(), platform::toEndpoints(context.settings.platform.endpoints),
               context.settings.platform.timeout)
         , nodeChart(loadChart(context.settings.charts, "node.yaml"))
+        , changeChart(loadChart(context.settings.charts, "config_change.yaml"))
         , fleet(
               context, nodeChart, keys, [this](const fleet::fleet_action& action) { onFleetAction(action); })
         , home(context, nullptr)
         , operations(context, home, kv, chart)
         , peers(io.get_executor(), keys)
         , router(context, home, operations, peers)
-        , callers(context, router, tls.get())
+        , configClock(io.get_executor())
+        , store(kv, configClock, context.settings.platform.prefix, changeChart)
+        , feed(context, kv, store, fleet, peers,
+              [this](const std::shared_ptr<const config::document>& document) { putInForce(document); })
+        , limits(context, fleet, peers)
+        , view(context, fleet, home, router)
+        , api(store, view, { context.settings.operators.firstKeyHash })
+        , operatorServer(context, api)
+        , callers(context, router, limits, tls.get())
         , peerServer(context, home, operations, keys,
               [this](wire::peer_call call) { return answer(std::move(call)); })
         , signals(io, SIGTERM, SIGINT)
@@ -114,11 +127,19 @@
     std::unique_ptr<asio::ssl::context> tls;
     platform::kv_client kv;
     utils::state_chart nodeChart;
+    utils::state_chart changeChart;
     serving::live_fleet fleet;
     serving::home_service home;
     serving::operation_service operations;
     serving::peer_pool peers;
     serving::router router;
+    platform::asio_clock configClock;
+    serving::config_feed::store_type store;
+    serving::config_feed feed;
+    serving::team_limits limits;
+    daemon_view view;
+    operators::operator_api api;
+    operator_server operatorServer;
     serving::caller_server callers;
     serving::peer_server peerServer;
     asio::signal_set signals;
@@ -128,6 +149,7 @@
 void node_daemon::data::start()
 {
     fleet.start();
+    operatorServer.start(endpointOf(context.settings.operators.address));
     callers.start(endpointOf(context.settings.callers.address));
     peerServer.start(endpointOf(context.settings.peers.address));
     asio::co_spawn(io, tick(), asio::detached);
@@ -137,7 +159,10 @@
             { "peers", context.settings.peers.address } });
 }
 
-void node_daemon::data::onFleetAction(const fleet::fleet_action&) { }
+void node_daemon::data::onFleetAction(const fleet::fleet_action& action)
+{
+    feed.onAction(action);
+}
 
 void node_daemon::data::putInForce(const std::shared_ptr<const config::document>& document)
 {
@@ -149,6 +174,7 @@
         context.ejectors[id].setServers(servers);
     }
     fleet.applyDocument(*document);
+    limits.applyDocument(*document, serving::now());
     utils::logEvent(
         utils::event::ConfigurationInForce, { { "revision", std::to_string(document->revision) } });
 }
@@ -160,6 +186,12 @@
     case wire::call_kind::Ping:
         reply.isOk = true;
         break;
+    case wire::call_kind::FetchConfiguration:
+        reply = feed.onFetch(call);
+        break;
+    case wire::call_kind::TeamLimit:
+        reply = limits.onCall(call);
+        break;
     case wire::call_kind::RememberChat:
         if (const auto message = wire::decode<wire::remember_chat>(call.payload)) {
             home.rememberChat(message->chat, message->server);
@@ -176,8 +208,10 @@
 {
     while (true) {
         const utils::time_point present = serving::now();
+        feed.tick();
         fleet.tick(home, present);
         home.tick(present);
+        limits.tick(present);
         ticker.expires_after(tickInterval);
         const auto [error] = co_await ticker.async_wait(asTuple);
         if (error)
@@ -210,7 +244,9 @@
         co_await timer.async_wait(asTuple);
     }
     peerServer.stop();
+    operatorServer.stop();
     fleet.stop();
+    feed.stop();
     utils::logEvent(utils::event::Stopped, { { "unfinished", std::to_string(context.requestsInProgress) } });
     io.stop();
 }
--- a/src/libs/decisions/teamlimiter.cpp
+++ b/src/libs/decisions/teamlimiter.cpp
@@ -204,6 +204,11 @@
         return {};
     if (state.staticTokens < 1) {
         const bool isShareNone = rate <= 0;
+        // The share starts empty, so that falling back again and again earns nothing. A caller of its first
+        // moments waits for the first token; refused, it would be told that it is over a limit it is not
+        // near.
+        if (!isShareNone && state.staticSince && now < *state.staticSince + m_limits.answerWithin)
+            return { limit_verdict::AwaitLump, {} };
         return refuseFor(
             isShareNone ? longestRetryAfter : utils::fromSeconds((1 - state.staticTokens) / rate), hash);
     }
--- a/src/libs/serving/callerserver.h
+++ b/src/libs/serving/callerserver.h
@@ -14,7 +14,7 @@
 class caller_server {
 public:
     /// `tls` null: plain TCP. Preconditions: all outlive this.
-    caller_server(node_context& context, router& routes, boost::asio::ssl::context* tls);
+    caller_server(node_context& context, router& routes, team_limits& limits, boost::asio::ssl::context* tls);
 
     /// Throws boost::system::system_error when the address cannot be listened on.
     void start(const boost::asio::ip::tcp::endpoint& endpoint);
@@ -27,6 +27,7 @@
 
     node_context& m_context;
     router& m_router;
+    team_limits& m_limits;
     boost::asio::ssl::context* m_tls;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<caller_session*> m_sessions;
--- a/src/libs/serving/callersession.cpp
+++ b/src/libs/serving/callersession.cpp
@@ -74,9 +74,10 @@
 
 } // namespace
 
-caller_session::caller_session(node_context& context, router& routes, net_stream stream)
+caller_session::caller_session(node_context& context, router& routes, team_limits& limits, net_stream stream)
     : m_context(context)
     , m_router(routes)
+    , m_limits(limits)
     , m_stream(std::move(stream))
 {
 }
@@ -183,7 +184,7 @@
     }
     if (target != "/readyz")
         co_return false;
-    const bool isReady = m_context.document && !m_context.isLeaving && m_context.fleet->isCurrent(now());
+    const bool isReady = m_context.isReady(now());
     const int status = isReady ? 200 : 503;
     std::string body = isReady ? "ready\n" : "not ready\n";
     co_await writer.whole(status, "text/plain", std::move(body));
@@ -242,7 +243,11 @@
     request.requestId = writer.requestId();
     const std::string pool = request.pool.str();
     const std::string team = request.team.str();
-    const attempt_result result = co_await m_router.route(std::move(request), writer);
+    attempt_result result;
+    team_limits::ticket held;
+    result.failure = co_await m_limits.admit(request.team, request.chat, held);
+    if (!result.failure)
+        result = co_await m_router.route(std::move(request), writer);
     const double took = utils::toSeconds(now() - arrival);
     if (result.isWhole()) {
         m_context.metrics.countAnswered(pool, utils::toSeconds(writer.headAt() - arrival), took);
--- a/src/libs/serving/callersession.h
+++ b/src/libs/serving/callersession.h
@@ -4,6 +4,7 @@
 #include "netstream.h"
 #include "nodecontext.h"
 #include "router.h"
+#include "teamlimits.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
@@ -18,8 +19,8 @@
 /// On the node's one thread.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-    /// Preconditions: context and router outlive this.
-    caller_session(node_context& context, router& routes, net_stream stream);
+    /// Preconditions: context, router and limits outlive this.
+    caller_session(node_context& context, router& routes, team_limits& limits, net_stream stream);
 
     boost::asio::awaitable<void> run();
     /// Ends the connection at once if it waits for its next request, else after the present one.
@@ -42,6 +43,7 @@
 
     node_context& m_context;
     router& m_router;
+    team_limits& m_limits;
     net_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     bool m_isIdle = true;
--- a/src/libs/serving/clock.h
+++ b/src/libs/serving/clock.h
@@ -1,22 +1,23 @@
 #pragma once
 
+#include "fleet/udpendpoint.h"
 #include "utils/time.h"
 
 #include <chrono>
 
 namespace serving {
 
-/// The monotonic clock of this process. Only code that does I/O reads it; it hands the time on. Thread safe.
+/// The monotonic clock of this process, the fleet's, so that times of both may be compared. Only code that
+/// does I/O reads it; it hands the time on. Thread safe.
 inline utils::time_point now()
 {
-    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-    return utils::time_point(std::chrono::duration_cast<utils::duration>(sinceEpoch));
+    return fleet::steadyNow();
 }
 
-/// The same instant on Asio's timers. Thread safe.
+/// The same instant on Asio's timers, whose clock has another origin. Thread safe.
 inline std::chrono::steady_clock::time_point toSteady(utils::time_point time)
 {
-    return std::chrono::steady_clock::time_point(time.time_since_epoch());
+    return std::chrono::steady_clock::now() + (time - now());
 }
 
 } // namespace serving
--- a/src/libs/serving/homeservice.cpp
+++ b/src/libs/serving/homeservice.cpp
@@ -253,6 +253,12 @@
     return slot.get();
 }
 
+utils::pool_id home_service::poolOf(const utils::server_id& server) const
+{
+    const auto found = m_poolOf.find(server);
+    return found == m_poolOf.end() ? utils::pool_id() : found->second;
+}
+
 home_slot* home_service::existingSlot(const utils::server_id& server)
 {
     const auto found = m_slots.find(server);
--- a/src/libs/serving/homeservice.h
+++ b/src/libs/serving/homeservice.h
@@ -38,6 +38,8 @@
     /// The slot of a server if there is one already, else null.
     home_slot* existingSlot(const utils::server_id& server);
     const std::map<utils::server_id, std::unique_ptr<home_slot>>& slots() const { return m_slots; }
+    /// The pool of a server that has a slot here; an empty name otherwise.
+    utils::pool_id poolOf(const utils::server_id& server) const;
     backend_pool& connections() { return m_connections; }
 
     /// Holds a slot of a server; frees it when destroyed, whichever way the request ends.
--- a/src/libs/serving/livefleet.cpp
+++ b/src/libs/serving/livefleet.cpp
@@ -155,6 +155,7 @@
     m_context.metrics.countControl("received", counters.bytesReceived - m_counted.bytesReceived,
         counters.datagramsReceived - m_counted.datagramsReceived);
     m_counted = counters;
+    m_context.metrics.closeControlWindow(now);
 }
 
 void live_fleet::followHandover(const utils::server_id& server, home_slot& slot, utils::time_point now)
--- a/src/libs/serving/nodecontext.h
+++ b/src/libs/serving/nodecontext.h
@@ -27,6 +27,9 @@
     {
     }
 
+    /// Whether a balancer may send callers here.
+    bool isReady(utils::time_point now) const { return document && !isLeaving && fleet->isCurrent(now); }
+
     boost::asio::any_io_executor executor;
     config::settings settings;
     tracer traces;
--- a/src/libs/serving/servingmetrics.cpp
+++ b/src/libs/serving/servingmetrics.cpp
@@ -6,7 +6,9 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <map>
+#include <optional>
 
 namespace serving {
 
@@ -61,6 +63,13 @@
     histogram_family& firstByte = histograms("lycheefront_first_byte_seconds", "Arrival to first byte");
     histogram_family& total = histograms("lycheefront_request_seconds", "Arrival to end");
     std::map<std::string, gauge_family*, std::less<>> gauges;
+    std::map<std::string, double, std::less<>> skewByPool;
+    double promptSum = 0;
+    double cachedSum = 0;
+    double controlSum = 0;
+    double controlRate = 0;
+    double controlSumAtWindow = 0;
+    std::optional<utils::time_point> windowStart;
 };
 
 serving_metrics::serving_metrics()
@@ -101,18 +110,22 @@
 void serving_metrics::countPromptTokens(std::string_view pool, std::uint64_t prompt, std::uint64_t cached)
 {
     const prometheus::Labels labels { { "pool", str(pool) } };
+    d->promptSum += static_cast<double>(prompt);
+    d->cachedSum += static_cast<double>(cached);
     d->promptTokens.Add(labels).Increment(static_cast<double>(prompt));
     d->cachedTokens.Add(labels).Increment(static_cast<double>(cached));
 }
 
 void serving_metrics::setLoadSkew(std::string_view pool, double maxOverMean)
 {
+    d->skewByPool[str(pool)] = maxOverMean;
     d->skew.Add({ { "pool", str(pool) } }).Set(maxOverMean);
 }
 
 void serving_metrics::countControl(std::string_view direction, std::uint64_t bytes, std::uint64_t packets)
 {
     const prometheus::Labels labels { { "direction", str(direction) } };
+    d->controlSum += static_cast<double>(bytes);
     d->controlBytes.Add(labels).Increment(static_cast<double>(bytes));
     d->controlPackets.Add(labels).Increment(static_cast<double>(packets));
 }
@@ -132,6 +145,35 @@
     found->second->Add({}).Set(value);
 }
 
+void serving_metrics::closeControlWindow(utils::time_point now)
+{
+    constexpr std::chrono::seconds window { 5 };
+    if (d->windowStart && now - *d->windowStart < window)
+        return;
+    if (d->windowStart)
+        d->controlRate = (d->controlSum - d->controlSumAtWindow) / utils::toSeconds(now - *d->windowStart);
+    d->windowStart = now;
+    d->controlSumAtWindow = d->controlSum;
+}
+
+double serving_metrics::cacheReuse() const
+{
+    return d->promptSum > 0 ? d->cachedSum / d->promptSum : 0;
+}
+
+double serving_metrics::loadSkew() const
+{
+    double most = 1;
+    for (const auto& [pool, skew] : d->skewByPool)
+        most = std::max(most, skew);
+    return most;
+}
+
+double serving_metrics::controlBytesPerSecond() const
+{
+    return d->controlRate;
+}
+
 std::string serving_metrics::text() const
 {
     const prometheus::TextSerializer serializer;
--- a/src/libs/serving/servingmetrics.h
+++ b/src/libs/serving/servingmetrics.h
@@ -29,8 +29,16 @@
     void setLoadSkew(std::string_view pool, double maxOverMean);
     /// Measure 3: control traffic between nodes.
     void countControl(std::string_view direction, std::uint64_t bytes, std::uint64_t packets);
+    /// Ends a window of controlBytesPerSecond; call it about once a second.
+    void closeControlWindow(utils::time_point now);
     void countPlatformCall(std::string_view call, bool isDone);
     void setGauge(std::string_view name, double value);
+    /// Share of prompt tokens found in an engine's cache since the start; 0 before the first.
+    double cacheReuse() const;
+    /// The highest load skew over the pools, as last set; 1 before.
+    double loadSkew() const;
+    /// Control bytes a second, sent and received, over the last whole window of some seconds.
+    double controlBytesPerSecond() const;
     /// Text for /metrics.
     std::string text() const;
 
