--- a/src/libs/decisions/lump.h
+++ b/src/libs/decisions/lump.h
@@ -39,14 +39,15 @@
     std::uint64_t sequence = 0; ///< of the request
     std::uint32_t requests = 0; ///< added to what the borrower holds
     std::uint32_t concurrent = 0; ///< what the borrower holds from now on, in sum
-    utils::duration expiresIn {}; ///< counted from when the borrower sent the request
+    utils::duration expiresIn {}; ///< of the requests; counted from when the borrower sent its request
+    utils::duration slotsExpireIn {}; ///< of the concurrent ones, likewise
     utils::duration retryAfter {}; ///< until the home expects to have more to lend
     bool isHome = true; ///< false: the node asked is not the home or not ready; a static share applies
 
     /// Includers that serialize include cereal/types/chrono.hpp.
     template <class Archive> void serialize(Archive& archive)
     {
-        archive(team, sequence, requests, concurrent, expiresIn, retryAfter, isHome);
+        archive(team, sequence, requests, concurrent, expiresIn, slotsExpireIn, retryAfter, isHome);
     }
 };
 
--- a/src/libs/decisions/lumplender.cpp
+++ b/src/libs/decisions/lumplender.cpp
@@ -55,6 +55,7 @@
     grant.team = request.team;
     grant.sequence = request.sequence;
     grant.expiresIn = m_limits.expiry;
+    grant.slotsExpireIn = m_limits.slotExpiry;
     const auto found = m_teams.find(request.team);
     if (found == m_teams.end() || !isReady(found->second, now)) {
         grant.isHome = false;
@@ -98,7 +99,7 @@
 
 double lump_lender::capacityOf(const team_state& state) const
 {
-    return std::max(state.limit.requestsPerSecond * utils::toSeconds(m_limits.burst), 1.0);
+    return std::max(state.limit.requestsPerSecond * utils::toSeconds(m_limits.burst), m_limits.leastBucket);
 }
 
 static_share lump_lender::setAside(const utils::team_id& team, const fleet_limit& limit) const
@@ -138,7 +139,7 @@
 {
     for (auto& [team, state] : m_teams) {
         std::erase_if(state.borrowers, [&](const auto& lent) {
-            return now >= lent.second.heardAt + m_limits.expiry + m_limits.longestRun;
+            return now >= lent.second.heardAt + m_limits.slotExpiry + m_limits.longestRun;
         });
     }
 }
@@ -147,7 +148,7 @@
 {
     unsigned sum = 0;
     for (const auto& [node, lent] : state.borrowers) {
-        if (now < lent.heardAt + m_limits.expiry + m_limits.longestRun)
+        if (now < lent.heardAt + m_limits.slotExpiry + m_limits.longestRun)
             sum += lent.concurrent;
     }
     return sum;
--- a/src/libs/decisions/lumplender.h
+++ b/src/libs/decisions/lumplender.h
@@ -12,11 +12,13 @@
 
 /// Settings of lending.
 struct lender_limits {
-    utils::duration expiry = std::chrono::seconds(4); ///< a lump's life without renewal
+    utils::duration expiry = std::chrono::seconds(4); ///< unused requests lapse
+    utils::duration slotExpiry = std::chrono::seconds(30); ///< slots in use are renewed at half of it
     /// A lender that has just become home lends nothing for as long as the lumps of its predecessor and the
     /// predecessor's time as a current node can last.
-    utils::duration settle = std::chrono::seconds(7);
+    utils::duration settle = std::chrono::seconds(33);
     utils::duration burst = std::chrono::seconds(1); ///< the bucket holds this much of the rate
+    double leastBucket = 5; ///< but so many at least: random arrivals at half of a small rate come in twos
     /// Running requests outlive a lump whose borrower has fallen silent; its slots are lent again after this.
     utils::duration longestRun = std::chrono::minutes(5);
     double lumpShare = 0.5; ///< a lump is at most this part of what is left: the next borrower finds some
@@ -29,8 +31,9 @@
 /// lets n times the limit through.
 ///
 /// Bounds. While every borrower reaches the home: requests let in during any time W are at most
-/// rate * (W + expiry + burst), and concurrent ones at most the limit. See team_limiter for
-/// splits. A grant that was lost is credited back exactly, by the sequence numbers. Not thread safe.
+/// rate * (W + expiry) + max(rate * burst, leastBucket), and concurrent ones at most the limit. See
+/// team_limiter for splits. A grant that was lost is credited back exactly, by the sequence numbers. Not
+/// thread safe.
 class lump_lender {
 public:
     explicit lump_lender(const lender_limits& limits = {});
--- a/src/libs/decisions/teamlimiter.cpp
+++ b/src/libs/decisions/teamlimiter.cpp
@@ -15,6 +15,7 @@
 // A request that waits for a lump may ask so much sooner than one that tops up.
 constexpr int urgentFactor = 10;
 constexpr unsigned mostDoublings = 3;
+constexpr utils::duration longestLapse = std::chrono::seconds(4);
 
 bool isLimited(const fleet_limit& limit)
 {
@@ -112,6 +113,7 @@
     if (state.isAnswered || !state.sentAt || grant.sequence != state.sentSequence)
         return;
     state.isAnswered = true;
+    state.waiting = 0; // those who wait ask again now, and count again if they must wait on
     if (!grant.isHome) {
         fallBack(state, now);
         return;
@@ -121,8 +123,9 @@
     state.appliedSequence = grant.sequence;
     state.tokens += grant.requests;
     state.concurrent = grant.concurrent;
-    state.expiry = grant.expiresIn;
     state.expiresAt = *state.sentAt + grant.expiresIn;
+    state.slotExpiry = grant.slotsExpireIn;
+    state.slotsExpireAt = *state.sentAt + grant.slotsExpireIn;
     const bool lacksRate = state.limit.requestsPerSecond > 0 && state.tokens < state.waitingAtSend;
     const bool lacksSlots
         = state.limit.concurrent > 0 && state.concurrent < state.running + state.waitingAtSend;
@@ -150,10 +153,10 @@
 
 void team_limiter::lapse(team_state& state, utils::time_point now)
 {
-    if (now < state.expiresAt)
-        return;
-    state.tokens = 0;
-    state.concurrent = 0;
+    if (now >= state.expiresAt)
+        state.tokens = 0;
+    if (now >= state.slotsExpireAt)
+        state.concurrent = 0;
 }
 
 bool team_limiter::isOnStaticShare(const team_state& state, utils::time_point now)
@@ -170,7 +173,9 @@
 {
     if (state.staticSince)
         return;
-    state.staticSince = std::max(now, state.expiresAt);
+    // While it lasts, a lump is part of the limit that the home accounts for, and better than the share.
+    const auto lapsed = state.limit.concurrent > 0 ? state.slotsExpireAt : state.expiresAt;
+    state.staticSince = std::max(now, std::min(lapsed, now + longestLapse));
     state.staticRefilledAt = *state.staticSince;
     state.staticTokens = 0;
 }
@@ -233,11 +238,19 @@
     const utils::duration gap = isWaiting ? m_limits.askEvery / urgentFactor : m_limits.askEvery;
     if (state.sentAt && now < *state.sentAt + gap)
         return false;
-    const bool isRenewalDue = isHolding(state) && now >= state.expiresAt - state.expiry / 2;
     const bool isLow
         = state.limit.requestsPerSecond > 0 && state.asked > 0 && state.tokens < neededRequests(state) / 2;
     const bool isShareInUse = state.staticSince && now < state.lastUse + m_limits.forgetAfter;
-    return isWaiting || isRenewalDue || isLow || isShareInUse;
+    return isWaiting || isLow || isShareInUse || isSlotUpdateDue(state, now);
+}
+
+bool team_limiter::isSlotUpdateDue(const team_state& state, utils::time_point now) const
+{
+    if (state.limit.concurrent == 0 || (state.concurrent == 0 && state.running == 0))
+        return false;
+    const bool isRenewalDue = now >= state.slotsExpireAt - state.slotExpiry / 2;
+    const bool isUnused = state.concurrent > state.running && now >= state.lastUse + m_limits.returnAfter;
+    return isRenewalDue || isUnused;
 }
 
 bool team_limiter::isIdle(const team_state& state, utils::time_point now) const
@@ -259,7 +272,17 @@
 
 std::uint32_t team_limiter::neededRequests(const team_state& state) const
 {
-    return static_cast<std::uint32_t>(std::ceil(state.demand * utils::toSeconds(m_limits.horizon)));
+    // Rounded down: where requests are rare each asks for itself. Tokens kept for a next one that does not
+    // come in time are lost to the team, and with many nodes that is most of a small limit.
+    return static_cast<std::uint32_t>(state.demand * utils::toSeconds(m_limits.horizon));
+}
+
+std::uint32_t team_limiter::wantedSlots(const team_state& state) const
+{
+    if (state.limit.concurrent == 0)
+        return 0;
+    const bool isFrequent = state.demand >= 1;
+    return state.running + state.waiting + (isFrequent ? 1 + state.running / 4 : 0);
 }
 
 lump_request team_limiter::makeRequest(const utils::team_id& team, team_state& state, utils::time_point now)
@@ -276,8 +299,7 @@
         request.returnedRequests = state.tokens > 2 * needed ? state.tokens - needed : 0;
         state.tokens -= request.returnedRequests;
     }
-    const std::uint32_t spare = state.demand > 0 ? 1 + state.running / 4 : 0;
-    request.wantedConcurrent = state.limit.concurrent > 0 ? state.running + state.waiting + spare : 0;
+    request.wantedConcurrent = wantedSlots(state);
     // Lowered before the request goes out: the home may lend the rest to others as soon as it reads this.
     state.concurrent = std::min(state.concurrent, request.wantedConcurrent);
     request.heldConcurrent = state.limit.concurrent > 0 ? std::max(state.concurrent, state.running) : 0;
--- a/src/libs/decisions/teamlimiter.h
+++ b/src/libs/decisions/teamlimiter.h
@@ -15,14 +15,15 @@
     utils::duration askEvery = std::chrono::milliseconds(500); ///< per team: bounds the control traffic
     utils::duration answerWithin = std::chrono::milliseconds(200); ///< then the home is asked again; doubles
     unsigned unanswered = 3; ///< asked so often without an answer, the home counts as out of reach
-    utils::duration horizon = std::chrono::seconds(1); ///< a lump should last this long
+    utils::duration horizon = std::chrono::seconds(2); ///< a lump should last this long
+    utils::duration returnAfter = std::chrono::seconds(1); ///< without use, free slots go back
     utils::duration forgetAfter = std::chrono::seconds(30); ///< without traffic a team's state goes
 };
 
 /// What the limiter says about one request.
 enum class limit_verdict {
     Admitted,
-    AwaitLump, ///< ask again when a grant has come or answerWithin has passed
+    AwaitLump, ///< ask again when a grant has come or answerWithin has passed, not before
     Refused
 };
 
@@ -40,7 +41,9 @@
 /// When the home is out of reach the node uses its static share.
 ///
 /// Bounds (R requests a second, C concurrent, E expiry of lumps, n nodes):
-///  - home in reach of all: at most R * (W + E) + R * burst requests in any time W; at most C concurrent.
+///  - home in reach of all: at most R * (W + E) + B requests in any time W, with B the lender's bucket; at
+///  most
+///    C concurrent.
 ///  - k nodes have lost the home: they use their static shares after E. Once the home's membership has
 ///    noticed, it sets these shares aside, and the sum keeps to R and C; until then at most
 ///    R * (1 + k/n) and C * (1 + k/n).
@@ -85,8 +88,9 @@
         double demand = 0; ///< requests per second, moving average
         std::uint32_t asked = 0; ///< since the last request was sent
         utils::time_point demandAt {};
-        utils::time_point expiresAt {};
-        utils::duration expiry {};
+        utils::time_point expiresAt {}; ///< of the tokens
+        utils::time_point slotsExpireAt {};
+        utils::duration slotExpiry {};
         utils::time_point deniedUntil {};
         utils::time_point lastUse {};
         std::uint64_t sentSequence = 0;
@@ -108,6 +112,8 @@
         const utils::team_id& team, team_state& state, std::uint64_t hash, utils::time_point now) const;
     utils::duration answerTimeout(const team_state& state) const;
     bool wantsToAsk(const team_state& state, utils::time_point now) const;
+    bool isSlotUpdateDue(const team_state& state, utils::time_point now) const;
+    std::uint32_t wantedSlots(const team_state& state) const;
     bool isIdle(const team_state& state, utils::time_point now) const;
     void measureDemand(team_state& state, utils::time_point now) const;
     std::uint32_t neededRequests(const team_state& state) const;
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -1,5 +1,7 @@
 // Measures the deciding code on small fakes in virtual time: fixed seeds, the same figures on every run.
 
+#include "limitbench.h"
+#include "loadbench.h"
 #include "measureoptions.h"
 
 #include <gflags/gflags.h>
@@ -27,6 +29,9 @@
 constexpr std::array measurements {
     measurement { "placement", "cache reuse, load skew and control traffic of placement policies",
         measure::runPlacement },
+    measurement { "load", "what callers get under five patterns of load, with safeguards and without",
+        measure::runLoadBench },
+    measurement { "limits", "what team limits over the fleet cost a node", measure::runLimitBench },
 };
 
 void printUsage()
