--- a/tests/auto/platform/tst_configsize.cpp
+++ b/tests/auto/platform/tst_configsize.cpp
@@ -1,5 +1,7 @@
 #include "configfixture.h"
 
+#include <chrono>
+
 namespace {
 
 constexpr std::size_t workspaces = 8800;
@@ -43,6 +45,17 @@
     BOOST_TEST(kv.store.longestValue() < largestValue);
     const std::string delta = config::encode(config::deltaSince(*whole, whole->head.revision - 1));
     BOOST_TEST(delta.size() < 32768u);
+    const auto start = std::chrono::steady_clock::now();
+    const config::parsed_document parsed = config::parseSections(whole->texts, whole->head.revision);
+    const auto parsedAt = std::chrono::steady_clock::now();
+    const auto applied = config::applyDelta(*whole, config::deltaSince(*whole, whole->head.revision - 1));
+    const auto appliedAt = std::chrono::steady_clock::now();
+    BOOST_TEST(parsed.problems.empty());
+    BOOST_TEST((applied != nullptr));
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    BOOST_TEST_MESSAGE("reading all sections " << milliseconds(parsedAt - start).count()
+                                               << " ms, putting one change in force "
+                                               << milliseconds(appliedAt - parsedAt).count() << " ms");
     BOOST_TEST_MESSAGE("sections " << whole->texts.size() << ", head " << encode(whole->head).size()
                                    << " B, longest value " << kv.store.longestValue()
                                    << " B, calls of a change " << changeCalls << ", calls of a full read "
