Apply the load bound to the lowest mean of the last seconds; let drafts wait for their cache

Cause: c x the present mean let a burst in that stood above c x mean when the burst was over, and digests carry the youngest entries, which are those of busy servers, so that a mean over the young ones was too high.

--- a/src/libs/decisions/cachemoves.cpp
+++ b/src/libs/decisions/cachemoves.cpp
@@ -37,9 +37,10 @@
     return costs.canImport && import <= recompute ? cache_choice::Import : cache_choice::Recompute;
 }
 
-utils::duration patienceFor(std::uint32_t prefixTokens, utils::duration maxWait, const export_budget& rates)
+utils::duration patienceFor(
+    std::uint32_t prefixTokens, utils::duration maxWait, const export_budget& rates, double waitWorth)
 {
-    return std::min(maxWait, utils::fromSeconds(prefixTokens / rates.prefillTokensPerSecond));
+    return std::min(maxWait, utils::fromSeconds(waitWorth * prefixTokens / rates.prefillTokensPerSecond));
 }
 
 } // namespace decisions
--- a/src/libs/decisions/cachemoves.h
+++ b/src/libs/decisions/cachemoves.h
@@ -58,7 +58,10 @@
 cache_choice chooseCache(const cache_costs& costs, const export_budget& rates);
 
 /// How long a request waits at the server that holds its prefix before it goes elsewhere: as long as
-/// computing the prefix anew would take, at most `maxWait`. Thread safe.
-utils::duration patienceFor(std::uint32_t prefixTokens, utils::duration maxWait, const export_budget& rates);
+/// computing the prefix anew would take, times `waitWorth`, at most `maxWait`. `waitWorth`: seconds of
+/// waiting that a second of prefill is worth; 1 where a person waits, more for drafts, whose waiting costs
+/// nobody anything while the prefill costs the other requests on that server. Thread safe.
+utils::duration patienceFor(
+    std::uint32_t prefixTokens, utils::duration maxWait, const export_budget& rates, double waitWorth = 1);
 
 } // namespace decisions
--- a/src/libs/decisions/loadbound.cpp
+++ b/src/libs/decisions/loadbound.cpp
@@ -10,9 +10,10 @@
     if (mean.totalSlots <= 0)
         return 1;
     constexpr double epsilon = 1e-9; // sums of loads divided by slots are off by less
-    const double perSlot = mean.perSlot + 1.0 / mean.totalSlots;
-    const double expected = perSlot * slots;
-    const double byMultiple = std::floor((multiple * expected) + epsilon);
+    const double newRequest = 1.0 / mean.totalSlots;
+    const double expected = (mean.perSlot + newRequest) * slots;
+    const double lowest = (std::min(mean.perSlot, mean.lowestPerSlot) + newRequest) * slots;
+    const double byMultiple = std::floor((multiple * lowest) + epsilon);
     const double byRounding = std::ceil(expected - epsilon);
     return static_cast<unsigned>(std::max({ 1.0, byMultiple, byRounding }));
 }
--- a/src/libs/decisions/loadview.cpp
+++ b/src/libs/decisions/loadview.cpp
@@ -10,13 +10,11 @@
 
 /// Sums of one pass over the entries.
 struct load_sums {
-    std::size_t servers = 0;
     double inFlight = 0;
     double slots = 0;
 
     void add(const load_entry& entry)
     {
-        ++servers;
         inFlight += entry.inFlight;
         slots += entry.slots;
     }
@@ -52,20 +50,28 @@
 
 mean_load load_view::mean(utils::time_point now) const
 {
-    load_sums young;
     load_sums living;
     for (const auto& entry : m_entries) {
-        const auto age = now - entry.countedAt;
-        if (age > entryLife)
-            continue;
-        living.add(entry);
-        if (age <= youngAge)
-            young.add(entry);
+        if (now - entry.countedAt <= entryLife)
+            living.add(entry);
     }
     if (living.slots <= 0)
         return {};
-    const auto& used = young.servers >= enoughYoung ? young : living;
-    return { used.inFlight / used.slots, living.slots };
+    return { living.inFlight / living.slots, living.slots };
+}
+
+mean_load load_view::observe(utils::time_point now)
+{
+    constexpr utils::duration grain = std::chrono::seconds(1);
+    auto present = mean(now);
+    if (m_lows.empty() || now - m_lows.back().begin >= grain)
+        m_lows.push_back({ now, present.perSlot });
+    m_lows.back().perSlot = std::min(m_lows.back().perSlot, present.perSlot);
+    while (now - m_lows.front().begin > lowestWindow)
+        m_lows.pop_front();
+    for (const auto& low : m_lows)
+        present.lowestPerSlot = std::min(present.lowestPerSlot, low.perSlot);
+    return present;
 }
 
 std::vector<load_entry> load_view::youngest(std::size_t limit) const
--- a/src/libs/decisions/loadview.h
+++ b/src/libs/decisions/loadview.h
@@ -6,6 +6,7 @@
 #include "utils/time.h"
 
 #include <cstddef>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -21,9 +22,8 @@
 
 /// What one node knows of the loads of a pool's servers: its own counts, digests that arrive late, and the
 /// loads named in refusals. Keyed by server, the youngest entry wins, so that two homes of one server during
-/// a handover are not counted twice. Answers surges and lag: the mean is taken over young entries where there
-/// are enough of them, so its lag does not grow with the fleet (a digest round carries a fixed number of
-/// entries); with all entries a fleet of 600 servers would compare against loads of ten and more seconds ago.
+/// a handover are not counted twice. Each server counts once, however old its entry: entries that are young
+/// are those of busy servers, which admit, refuse and finish most, and a mean over them alone is too high.
 /// Not thread safe.
 class load_view {
 public:
@@ -33,6 +33,8 @@
     void remove(const utils::server_id& server);
     /// The pool's mean load; entries older than `entryLife` no longer count.
     mean_load mean(utils::time_point now) const;
+    /// As mean, with the lowest mean of the last `lowestWindow` filled in. Call it at each decision.
+    mean_load observe(utils::time_point now);
     /// The `limit` youngest entries, to be sent in a digest or along with a request.
     std::vector<load_entry> youngest(std::size_t limit) const;
     /// The entry of a server, or null.
@@ -41,12 +43,17 @@
 
     /// A server not heard of for so long has no home or is gone: its load says nothing.
     static constexpr utils::duration entryLife = std::chrono::seconds(30);
-    /// Young enough to follow a surge: a few digest rounds of a second.
-    static constexpr utils::duration youngAge = std::chrono::seconds(3);
-    /// So many servers give the mean to about 2 % when loads spread by 15 %.
-    static constexpr std::size_t enoughYoung = 64;
+    /// About the time that a request takes: what a burst let in is gone by then.
+    static constexpr utils::duration lowestWindow = std::chrono::seconds(10);
 
 private:
+    /// The lowest mean seen in one second.
+    struct second_low {
+        utils::time_point begin;
+        double perSlot;
+    };
+
+    std::deque<second_low> m_lows;
     std::vector<load_entry> m_entries;
     std::unordered_map<utils::server_id, std::size_t> m_index;
 };
--- a/src/tools/measure/placement.cpp
+++ b/src/tools/measure/placement.cpp
@@ -75,6 +75,10 @@
         change(settings);
         runs.push_back(homeRun(name, settings));
     };
+    for (const double bound : { 1.05, 1.1, 1.15, 1.2, 1.3, 1.4, 1.6, 2.0 })
+        add("curve c=" + std::to_string(bound).substr(0, 4), [bound](auto& s) { s.bound = bound; });
+    add("- c on present mean", [](auto& s) { s.usesLowestMean = false; });
+    add("- drafts wait as others", [](auto& s) { s.draftWaitWorth = 1; });
     add("- without memory", [](auto& s) { s.remembers = false; });
     add("- without new-chat bound", [](auto& s) { s.newChatShare = 1; });
     add("- without wait for cache", [](auto& s) { s.waitsForCache = false; });
