Serve drafts, and let a node's platform writes share transactions

Cause: drafts and the batcher were machines without hands. Change: draft_service, draft_host, session_lease (counts its end by this node's clock from when the renewal was sent), draft_endpoint (202 with an id, poll from any node, cancel), batched_kv for operations and drafts. Found and mended: a caller or entry node that went away counted as a failure of the backend server and could make innocent requests poison suspects; an abort that the watchdog did not cause is now CallerGone.

--- a/src/app/lycheefrontd/daemonview.cpp
+++ b/src/app/lycheefrontd/daemonview.cpp
@@ -25,11 +25,12 @@
 } // namespace
 
 daemon_view::daemon_view(serving::node_context& context, serving::live_fleet& fleet,
-    serving::home_service& home, serving::router& routes)
+    serving::home_service& home, serving::router& routes, serving::draft_service& drafts)
     : m_context(context)
     , m_fleet(fleet)
     , m_home(home)
     , m_router(routes)
+    , m_drafts(drafts)
 {
 }
 
@@ -188,7 +189,26 @@
     }
 }
 
-asio::awaitable<std::vector<operators::draft_status>> daemon_view::drafts(utils::team_id)
+asio::awaitable<std::vector<operators::draft_status>> daemon_view::drafts(utils::team_id team)
 {
-    co_return std::vector<operators::draft_status>();
+    std::vector<utils::team_id> teams;
+    if (!team.isEmpty())
+        teams.push_back(team);
+    else if (m_context.document) {
+        for (const auto& [id, entry] : m_context.document->teams)
+            teams.push_back(id);
+    }
+    std::vector<operators::draft_status> rows;
+    for (const utils::team_id& each : teams) {
+        const auto records = co_await m_drafts.list(each);
+        for (const operations::draft_record& record : records) {
+            operators::draft_status row;
+            row.id = record.id;
+            row.team = record.team;
+            row.state = std::string(operations::toString(record.state));
+            row.bytes = record.body.size() + (record.answer ? record.answer->body.size() : 0);
+            rows.push_back(std::move(row));
+        }
+    }
+    co_return rows;
 }
--- a/src/app/lycheefrontd/daemonview.h
+++ b/src/app/lycheefrontd/daemonview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "operators/nodeview.h"
+#include "serving/draftservice.h"
 #include "serving/homeservice.h"
 #include "serving/livefleet.h"
 #include "serving/nodecontext.h"
@@ -11,7 +12,7 @@
 public:
     /// Preconditions: all outlive this.
     daemon_view(serving::node_context& context, serving::live_fleet& fleet, serving::home_service& home,
-        serving::router& routes);
+        serving::router& routes, serving::draft_service& drafts);
 
     operators::fleet_status status() override;
     boost::asio::awaitable<std::vector<operators::explain_step>> explain(
@@ -32,4 +33,5 @@
     serving::live_fleet& m_fleet;
     serving::home_service& m_home;
     serving::router& m_router;
+    serving::draft_service& m_drafts;
 };
--- a/src/app/lycheefrontd/nodedaemon.cpp
+++ b/src/app/lycheefrontd/nodedaemon.cpp
@@ -8,8 +8,10 @@
 #include "serving/clock.h"
 #include "serving/configfeed.h"
 #include "serving/connect.h"
+#include "serving/draftservice.h"
 #include "serving/livefleet.h"
 #include "serving/peerserver.h"
+#include "serving/teamlimits.h"
 #include "utils/eventlog.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -88,11 +90,13 @@
         , kv(io.get_executor(), platform::toEndpoints(context.settings.platform.endpoints),
               context.settings.platform.timeout)
         , nodeChart(loadChart(context.settings.charts, "node.yaml"))
+        , draftChart(loadChart(context.settings.charts, "draft.yaml"))
         , changeChart(loadChart(context.settings.charts, "config_change.yaml"))
         , fleet(
               context, nodeChart, keys, [this](const fleet::fleet_action& action) { onFleetAction(action); })
         , home(context, nullptr)
-        , operations(context, home, kv, chart)
+        , writes(io.get_executor(), kv)
+        , operations(context, home, kv, writes, chart)
         , peers(io.get_executor(), keys)
         , router(context, home, operations, peers)
         , configClock(io.get_executor())
@@ -100,10 +104,11 @@
         , feed(context, kv, store, fleet, peers,
               [this](const std::shared_ptr<const config::document>& document) { putInForce(document); })
         , limits(context, fleet, peers)
-        , view(context, fleet, home, router)
+        , drafts(context, router, kv, writes, draftChart)
+        , view(context, fleet, home, router, drafts)
         , api(store, view, { context.settings.operators.firstKeyHash })
         , operatorServer(context, api)
-        , callers(context, router, limits, tls.get())
+        , callers(context, { router, limits, drafts }, tls.get())
         , peerServer(context, home, operations, keys,
               [this](wire::peer_call call) { return answer(std::move(call)); })
         , signals(io, SIGTERM, SIGINT)
@@ -127,9 +132,11 @@
     std::unique_ptr<asio::ssl::context> tls;
     platform::kv_client kv;
     utils::state_chart nodeChart;
+    utils::state_chart draftChart;
     utils::state_chart changeChart;
     serving::live_fleet fleet;
     serving::home_service home;
+    serving::batched_kv writes;
     serving::operation_service operations;
     serving::peer_pool peers;
     serving::router router;
@@ -137,6 +144,7 @@
     serving::config_feed::store_type store;
     serving::config_feed feed;
     serving::team_limits limits;
+    serving::draft_service drafts;
     daemon_view view;
     operators::operator_api api;
     operator_server operatorServer;
@@ -212,6 +220,7 @@
         fleet.tick(home, present);
         home.tick(present);
         limits.tick(present);
+        drafts.tick(fleet.liveNodes(), present);
         ticker.expires_after(tickInterval);
         const auto [error] = co_await ticker.async_wait(asTuple);
         if (error)
@@ -237,9 +246,10 @@
     context.isLeaving = true;
     callers.leave();
     fleet.leave();
+    drafts.leave(serving::now());
     const utils::time_point limit = serving::now() + context.settings.shutdownGrace;
     asio::steady_timer timer(io);
-    while ((context.requestsInProgress > 0 || !fleet.isLeft()) && serving::now() < limit) {
+    while ((context.requestsInProgress + drafts.running() > 0 || !fleet.isLeft()) && serving::now() < limit) {
         timer.expires_after(tickInterval);
         co_await timer.async_wait(asTuple);
     }
--- a/src/libs/serving/backendexchange.cpp
+++ b/src/libs/serving/backendexchange.cpp
@@ -141,6 +141,12 @@
 {
     const bool isTimeout = m_watchdog->hasFired;
     const bool hasHead = m_parser.is_header_done();
+    // The watchdog closes the socket, which aborts the call too; any other abort is a caller that has gone,
+    // and must not count against the server.
+    if (error == asio::error::operation_aborted && !isTimeout) {
+        m_failure = { utils::error_kind::CallerGone, {}, {}, {} };
+        return;
+    }
     utils::error_kind kind = utils::error_kind::ServerFailed;
     if (isTimeout)
         kind = utils::error_kind::ServerTimeout;
--- a/src/libs/serving/callerserver.cpp
+++ b/src/libs/serving/callerserver.cpp
@@ -6,11 +6,9 @@
 
 namespace asio = boost::asio;
 
-caller_server::caller_server(
-    node_context& context, router& routes, team_limits& limits, asio::ssl::context* tls)
+caller_server::caller_server(node_context& context, caller_services services, asio::ssl::context* tls)
     : m_context(context)
-    , m_router(routes)
-    , m_limits(limits)
+    , m_services(services)
     , m_tls(tls)
     , m_acceptor(context.executor)
 {
@@ -36,7 +34,7 @@
 {
     net_stream stream
         = m_tls == nullptr ? net_stream(std::move(socket)) : net_stream(std::move(socket), *m_tls);
-    const auto session = std::make_shared<caller_session>(m_context, m_router, m_limits, std::move(stream));
+    const auto session = std::make_shared<caller_session>(m_context, m_services, std::move(stream));
     m_sessions.insert(session.get());
     co_await session->run();
     m_sessions.erase(session.get());
--- a/src/libs/serving/callerserver.h
+++ b/src/libs/serving/callerserver.h
@@ -14,7 +14,7 @@
 class caller_server {
 public:
     /// `tls` null: plain TCP. Preconditions: all outlive this.
-    caller_server(node_context& context, router& routes, team_limits& limits, boost::asio::ssl::context* tls);
+    caller_server(node_context& context, caller_services services, boost::asio::ssl::context* tls);
 
     /// Throws boost::system::system_error when the address cannot be listened on.
     void start(const boost::asio::ip::tcp::endpoint& endpoint);
@@ -26,8 +26,7 @@
     boost::asio::awaitable<void> session(boost::asio::ip::tcp::socket socket);
 
     node_context& m_context;
-    router& m_router;
-    team_limits& m_limits;
+    caller_services m_services;
     boost::asio::ssl::context* m_tls;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<caller_session*> m_sessions;
--- a/src/libs/serving/callersession.cpp
+++ b/src/libs/serving/callersession.cpp
@@ -1,7 +1,9 @@
 #include "callersession.h"
 
 #include "clock.h"
-#include "requestbuilder.h"
+#include "draftendpoint.h"
+#include "router.h"
+#include "teamlimits.h"
 
 #include "utils/eventlog.h"
 
@@ -74,10 +76,9 @@
 
 } // namespace
 
-caller_session::caller_session(node_context& context, router& routes, team_limits& limits, net_stream stream)
+caller_session::caller_session(node_context& context, caller_services services, net_stream stream)
     : m_context(context)
-    , m_router(routes)
-    , m_limits(limits)
+    , m_services(services)
     , m_stream(std::move(stream))
 {
 }
@@ -209,6 +210,11 @@
         co_await answerModels(team->id, writer);
         co_return;
     }
+    if (team != nullptr && draft_endpoint::concerns(request)) {
+        draft_endpoint endpoint(m_context, m_services.drafts);
+        co_await endpoint.answer(*team, std::move(request), writer);
+        co_return;
+    }
     wire::forward_request forward;
     if (team != nullptr) {
         forward = utils::valueOr([&] { return buildForwardRequest(*document, *team, request); },
@@ -245,9 +251,9 @@
     const std::string team = request.team.str();
     attempt_result result;
     team_limits::ticket held;
-    result.failure = co_await m_limits.admit(request.team, request.chat, held);
+    result.failure = co_await m_services.limits.admit(request.team, request.chat, held);
     if (!result.failure)
-        result = co_await m_router.route(std::move(request), writer);
+        result = co_await m_services.routes.route(std::move(request), writer);
     const double took = utils::toSeconds(now() - arrival);
     if (result.isWhole()) {
         m_context.metrics.countAnswered(pool, utils::toSeconds(writer.headAt() - arrival), took);
--- a/src/libs/serving/callersession.h
+++ b/src/libs/serving/callersession.h
@@ -1,14 +1,12 @@
 #pragma once
 
+#include "callerservices.h"
 #include "callerwriter.h"
 #include "netstream.h"
 #include "nodecontext.h"
-#include "router.h"
-#include "teamlimits.h"
+#include "requestbuilder.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 
@@ -19,15 +17,15 @@
 /// On the node's one thread.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-    /// Preconditions: context, router and limits outlive this.
-    caller_session(node_context& context, router& routes, team_limits& limits, net_stream stream);
+    /// Preconditions: context and services outlive this.
+    caller_session(node_context& context, caller_services services, net_stream stream);
 
     boost::asio::awaitable<void> run();
     /// Ends the connection at once if it waits for its next request, else after the present one.
     void leave();
 
 private:
-    using request_type = boost::beast::http::request<boost::beast::http::string_body>;
+    using request_type = caller_request;
     struct read_outcome {
         std::optional<request_type> request;
         std::optional<utils::failure> failure; ///< to be answered; neither: the caller has gone
@@ -42,8 +40,7 @@
     boost::asio::awaitable<bool> answerHealth(std::string_view target, caller_writer& writer);
 
     node_context& m_context;
-    router& m_router;
-    team_limits& m_limits;
+    caller_services m_services;
     net_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     bool m_isIdle = true;
--- a/src/libs/serving/livefleet.cpp
+++ b/src/libs/serving/livefleet.cpp
@@ -236,6 +236,16 @@
     }
 }
 
+std::vector<utils::node_id> live_fleet::liveNodes() const
+{
+    std::vector<utils::node_id> nodes { self() };
+    for (const auto& [id, member] : m_node->members().members().all()) {
+        if (member.isLive())
+            nodes.push_back(id);
+    }
+    return nodes;
+}
+
 const utils::node_id& live_fleet::self() const
 {
     return m_context.settings.node;
--- a/src/libs/serving/livefleet.h
+++ b/src/libs/serving/livefleet.h
@@ -38,6 +38,8 @@
     bool isLeft() const { return m_isLeft; }
     /// Runs an event on the node; see fleet::udp_endpoint::with.
     void with(const std::function<void(fleet::fleet_node&, utils::time_point)>& event);
+    /// Live nodes of the region, this one included.
+    std::vector<utils::node_id> liveNodes() const;
     const fleet::fleet_node& node() const { return *m_node; }
 
     const utils::node_id& self() const override;
--- a/src/libs/serving/operationhost.h
+++ b/src/libs/serving/operationhost.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "batchedkv.h"
 #include "homeservice.h"
 
 #include "operations/operation.h"
-#include "platform/kvclient.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -20,7 +20,7 @@
     struct parts {
         node_context& context;
         home_service& home;
-        platform::kv_client& kv;
+        batched_kv& kv;
         const utils::state_chart& chart;
     };
 
--- a/src/libs/serving/operationservice.cpp
+++ b/src/libs/serving/operationservice.cpp
@@ -78,11 +78,11 @@
 
 } // namespace
 
-operation_service::operation_service(
-    node_context& context, home_service& home, platform::kv_client& kv, const utils::state_chart& chart)
+operation_service::operation_service(node_context& context, home_service& home, platform::kv_client& kv,
+    batched_kv& writes, const utils::state_chart& chart)
     : m_context(context)
     , m_home(home)
-    , m_kv(kv)
+    , m_writes(writes)
     , m_chart(chart)
     , m_lease(kv)
     , m_boot(utils::hash64(randomHex()))
@@ -126,7 +126,7 @@
     }
     auto operation = makeOperation(request, lease);
     const auto host
-        = std::make_shared<operation_host>(operation_host::parts { m_context, m_home, m_kv, m_chart },
+        = std::make_shared<operation_host>(operation_host::parts { m_context, m_home, m_writes, m_chart },
             std::move(operation), std::move(request), std::move(held), deadline);
     caller_watch watch(*host);
     host->start();
--- a/src/libs/serving/operationservice.h
+++ b/src/libs/serving/operationservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batchedkv.h"
 #include "homeservice.h"
 #include "retentionlease.h"
 
@@ -14,8 +15,8 @@
 class operation_service {
 public:
     /// Preconditions: all outlive this; the chart passed operations::operation::checkChart.
-    operation_service(
-        node_context& context, home_service& home, platform::kv_client& kv, const utils::state_chart& chart);
+    operation_service(node_context& context, home_service& home, platform::kv_client& kv, batched_kv& writes,
+        const utils::state_chart& chart);
 
     /// Runs the request at most once, or passes on the answer of its earlier sending.
     template <answer_sink Sink>
@@ -27,7 +28,7 @@
 
     node_context& m_context;
     home_service& m_home;
-    platform::kv_client& m_kv;
+    batched_kv& m_writes;
     const utils::state_chart& m_chart;
     retention_lease m_lease;
     std::uint64_t m_boot;
