--- a/src/tools/measure/limitbench.cpp
+++ b/src/tools/measure/limitbench.cpp
@@ -87,7 +87,7 @@
         printJson(rows);
     else
         report::printTable(std::cout, tableOf(rows));
-    if (!options.reportDir.empty() && !writeReport(rows, options.reportDir)) {
+    if (!options.reportDir.empty() && !writeReport(rows, options.reportDir + "/limits")) {
         std::cerr << "cannot write the report to " << options.reportDir << "\n";
         return 1;
     }
--- a/src/tools/measure/loadbench.cpp
+++ b/src/tools/measure/loadbench.cpp
@@ -153,7 +153,7 @@
         printJson(rows);
     else
         report::printTable(std::cout, tableOf(rows));
-    if (!options.reportDir.empty() && !writeReport(rows, loads, options.reportDir)) {
+    if (!options.reportDir.empty() && !writeReport(rows, loads, options.reportDir + "/load")) {
         std::cerr << "cannot write the report to " << options.reportDir << "\n";
         return 1;
     }
