Log operators' changes, and give a change up after 5 s

Ruled out: asking one daemon only when the service is down: another may reach it. Conclusion: the tests of configuration, operators and the event catalogue pass.

--- a/src/libs/config/configchange.h
+++ b/src/libs/config/configchange.h
@@ -39,7 +39,7 @@
 
 /// How long a change goes on trying; defaults argued in docs/design/configuration.md.
 struct change_settings {
-    utils::duration limit = std::chrono::seconds(10); ///< then the operator hears how it stands
+    utils::duration limit = std::chrono::seconds(5); ///< then the operator hears how it stands
     utils::duration retryFirst = std::chrono::milliseconds(50); ///< doubles with each failure
     utils::duration retryMost = std::chrono::seconds(1);
 };
--- a/src/libs/operators/operatorapi.cpp
+++ b/src/libs/operators/operatorapi.cpp
@@ -7,6 +7,7 @@
 #include "config/documentwriter.h"
 #include "config/textdiff.h"
 #include "utils/crypto.h"
+#include "utils/eventlog.h"
 
 #include <boost/json.hpp>
 #include <boost/url.hpp>
@@ -41,11 +42,32 @@
     return problemReply(failure, toProblem(failure));
 }
 
+void logOutcome(const std::string& changeId, const config::change_outcome& outcome)
+{
+    const std::string kind(utils::answerFor(outcome.failure.kind).name);
+    switch (outcome.verdict) {
+    case config::change_verdict::Accepted:
+        utils::logEvent(utils::event::ChangeAccepted,
+            { { "change", changeId }, { "revision", std::to_string(outcome.revision) },
+                { "section", outcome.sections.empty() ? "" : outcome.sections.front() },
+                { "count", std::to_string(outcome.sections.size()) } });
+        return;
+    case config::change_verdict::Refused:
+        utils::logEvent(utils::event::ChangeRefused, { { "change", changeId }, { "kind", kind } });
+        return;
+    case config::change_verdict::Unknown:
+        utils::logEvent(utils::event::ChangeUnknown, { { "change", changeId } });
+        return;
+    case config::change_verdict::Unchanged:
+        return;
+    }
+}
+
 operator_reply refuseDocument(std::vector<config::problem> problems)
 {
     config::change_outcome outcome;
-    outcome.failure
-        = { utils::error_kind::InvalidDocument, std::to_string(problems.size()) + " problems", {}, {} };
+    outcome.failure = { utils::error_kind::InvalidDocument,
+        std::to_string(problems.size()) + (problems.size() == 1 ? " problem" : " problems"), {}, {} };
     outcome.problems = std::move(problems);
     return problemReply(outcome.failure, toProblem(outcome));
 }
@@ -135,8 +157,10 @@
     // A node that starts while the service is slow knows no operators yet; it reads before it refuses.
     if (!isOperator(request.key))
         co_await m_configuration->read();
-    if (!isOperator(request.key))
+    if (!isOperator(request.key)) {
+        utils::logEvent(utils::event::OperatorRejected, { { "path", path } });
         co_return refuse(utils::error_kind::OperatorUnknown, "");
+    }
     call c;
     for (const auto& parameter : url->params())
         c.query.emplace(parameter.key, parameter.value);
@@ -166,6 +190,14 @@
     return request;
 }
 
+asio::awaitable<config::change_outcome> operator_api::change(config::change_request request)
+{
+    const std::string id = request.id;
+    config::change_outcome outcome = co_await m_configuration->change(std::move(request));
+    logOutcome(id, outcome);
+    co_return outcome;
+}
+
 asio::awaitable<operator_reply> operator_api::check(call c)
 {
     const platform::snapshot_reply present = co_await m_configuration->read();
@@ -191,7 +223,7 @@
         request.edits.emplace_back(config::put_section { name, text });
     for (const std::string& name : splitList(c.text("delete")))
         request.edits.emplace_back(config::delete_section { name });
-    config::change_outcome outcome = co_await m_configuration->change(std::move(request));
+    config::change_outcome outcome = co_await change(std::move(request));
     if (outcome.failure.kind == utils::error_kind::InvalidDocument && !outcome.problems.empty()) {
         // The plan knows only sections; the file has lines.
         auto placed = config::parseDocumentOver(c.request.body, file, *m_configuration->cached()->whole);
@@ -254,7 +286,7 @@
     config::change_request request = changeOf(c);
     request.edits.emplace_back(
         config::set_approval { utils::pool_id(c.text("pool")), utils::team_id(c.text("team")), isApproved });
-    config::change_outcome outcome = co_await m_configuration->change(std::move(request));
+    config::change_outcome outcome = co_await change(std::move(request));
     co_return co_await finish(std::move(outcome));
 }
 
@@ -263,7 +295,7 @@
     config::change_request request = changeOf(c);
     const bool isLeaving = c.text("undo").empty();
     request.edits.emplace_back(config::set_leaving { utils::server_id(c.text("server")), isLeaving });
-    config::change_outcome outcome = co_await m_configuration->change(std::move(request));
+    config::change_outcome outcome = co_await change(std::move(request));
     co_return co_await finish(std::move(outcome));
 }
 
--- a/src/libs/operators/operatorapi.h
+++ b/src/libs/operators/operatorapi.h
@@ -83,6 +83,7 @@
     bool isOperator(const std::string& key) const;
     config::change_request changeOf(const call& c) const;
     boost::asio::awaitable<operator_reply> approval(call c, bool isApproved);
+    boost::asio::awaitable<config::change_outcome> change(config::change_request request);
     boost::asio::awaitable<operator_reply> finish(config::change_outcome outcome);
 
     platform::config_access* m_configuration;
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -20,6 +20,10 @@
     event_info {
         event::PeerKeyRejected, Warning, "peer_key_rejected", "Bytes from a peer fail authentication" },
     event_info { event::ConfigurationInForce, Info, "configuration_in_force", "A revision is in force here" },
+    event_info { event::ChangeAccepted, Info, "change_accepted", "An operator's change is in the head" },
+    event_info { event::ChangeRefused, Info, "change_refused", "An operator's change was not made" },
+    event_info { event::ChangeUnknown, Warning, "change_unknown", "Whether a change was made is not known" },
+    event_info { event::OperatorRejected, Warning, "operator_rejected", "A key is no operator's" },
     event_info { event::RequestDone, Info, "request_done", "A request has its whole answer" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info { event::ServerFailure, Warning, "server_failure", "A backend server failed a request" },
