--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -3,6 +3,7 @@
 #include "limitbench.h"
 #include "loadbench.h"
 #include "measureoptions.h"
+#include "queuecost.h"
 
 #include <gflags/gflags.h>
 
@@ -32,6 +33,8 @@
     measurement { "load", "what callers get under five patterns of load, with safeguards and without",
         measure::runLoadBench },
     measurement { "limits", "what team limits over the fleet cost a node", measure::runLimitBench },
+    measurement { "costs", "processor time and memory of queue, limits and poison register (real time)",
+        measure::runQueueCost },
 };
 
 void printUsage()
