--- a/cmake/LycheefrontTargets.cmake
+++ b/cmake/LycheefrontTargets.cmake
@@ -69,6 +69,7 @@
 endfunction()
 
 # easylogging++ comes as one source file to be compiled into the program.
-add_library(easyloggingpp STATIC /usr/include/easylogging++.cc)
+add_library(easyloggingpp STATIC /usr/include/easylogging++.cc
+    "${CMAKE_SOURCE_DIR}/src/libs/utils/loggingstorage.cpp")
 target_compile_definitions(easyloggingpp PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE
     ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
--- a/src/libs/decisions/homeledger.cpp
+++ b/src/libs/decisions/homeledger.cpp
@@ -1,6 +1,7 @@
 #include "homeledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace decisions {
@@ -9,6 +10,8 @@
 
 /// Own counts are kept so long to be set against a late report; a report is late by a second or two.
 constexpr utils::duration historyLife = std::chrono::seconds(5);
+/// A request that was just dispatched may not show in a report yet; counted as own it would hide another's.
+constexpr utils::duration reportJitter = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -37,6 +40,24 @@
     }
 }
 
+void home_ledger::withdrawClaim()
+{
+    if (m_state != home_state::AwaitingHandover)
+        return;
+    m_state = home_state::NotHome;
+    m_predecessors.clear();
+}
+
+std::vector<utils::node_id> home_ledger::claimTargets() const
+{
+    std::vector<utils::node_id> targets;
+    for (const auto& [node, known] : m_predecessors) {
+        if (!known.isResolved)
+            targets.push_back(node);
+    }
+    return targets;
+}
+
 claim_answer home_ledger::onClaim(const utils::node_id& from, bool claimantOutranksSelf)
 {
     switch (m_state) {
@@ -90,8 +111,12 @@
 void home_ledger::onNodeDead(const utils::node_id& node, utils::time_point deadSince)
 {
     const auto found = m_predecessors.find(node);
-    if (found != m_predecessors.end() && !found->second.deadSince)
-        found->second.deadSince = deadSince;
+    if (found == m_predecessors.end())
+        return;
+    // The latest counts: a node that lived in between without being noticed may have renewed its currency
+    // then.
+    auto& known = found->second.deadSince;
+    known = known ? std::max(*known, deadSince) : deadSince;
 }
 
 void home_ledger::onNodeAlive(const utils::node_id& node)
@@ -132,14 +157,17 @@
     if (report.sampledAt < m_reportedAt)
         return;
     m_reportedAt = report.sampledAt;
-    const unsigned own = countAt(report.sampledAt);
-    unsigned foreign = report.inFlight > own ? report.inFlight - own : 0;
-    const bool isSettled = now - m_heldSince > m_settings.settleFor;
-    if (isSettled && foreign <= m_settings.reportTolerance)
-        foreign = 0;
-    m_foreign = foreign;
+    const unsigned own = lowestCountNear(report.sampledAt);
+    const unsigned foreign = report.inFlight > own ? report.inFlight - own : 0;
+    if (m_state != home_state::Holding) {
+        m_inherited = foreign;
+        return;
+    }
+    // What was there at the takeover only ends: the lowest report bounds it, to the last request.
     if (report.sampledAt > m_heldSince)
         m_inherited = std::min(m_inherited, foreign);
+    const bool isSettled = now - m_heldSince > m_settings.settleFor;
+    m_foreign = isSettled && foreign <= m_settings.reportTolerance ? 0 : foreign;
 }
 
 void home_ledger::setCapacity(unsigned slots, double rampUp)
@@ -193,7 +221,9 @@
         const auto& deadSince = entry.second.deadSince;
         return entry.second.isResolved || (deadSince && now - *deadSince > m_settings.deadAfter);
     });
-    if (mayHold)
+    const bool isReported = m_reportedAt >= m_claimedAt;
+    const bool isSilent = now - m_claimedAt > m_settings.deadAfter + m_settings.reportLife;
+    if (mayHold && (isReported || isSilent))
         hold(now);
 }
 
@@ -207,15 +237,22 @@
 
 void home_ledger::recordCount(utils::time_point now)
 {
-    while (m_history.size() > 1 && now - m_history[1].at > historyLife)
+    while (m_history.size() > 1 && now - m_history[1].at > historyLife + reportJitter)
         m_history.pop_front();
     m_history.push_back({ now, ownInFlight() });
 }
 
-unsigned home_ledger::countAt(utils::time_point when) const
+unsigned home_ledger::lowestCountNear(utils::time_point when) const
 {
     const auto later = std::ranges::upper_bound(m_history, when, {}, &count_sample::at);
-    return later == m_history.begin() ? 0 : std::prev(later)->inFlight;
+    unsigned lowest = std::numeric_limits<unsigned>::max();
+    for (auto it = later; it != m_history.begin();) {
+        --it;
+        lowest = std::min(lowest, it->inFlight);
+        if (when - it->at > reportJitter)
+            return lowest;
+    }
+    return 0;
 }
 
 unsigned home_ledger::slotShare(const fleet_state& fleet) const
--- a/src/libs/decisions/homeledger.h
+++ b/src/libs/decisions/homeledger.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <unordered_set>
+#include <vector>
 
 namespace decisions {
 
@@ -85,16 +86,22 @@
 public:
     home_ledger(utils::node_id self, unsigned slots, home_settings settings = {});
 
-    /// The node's view names it home. Claims are to be sent to `predecessors` (the next ones of rankHomes,
-    /// and whoever the digests name as holder) and repeated until isAwaiting() is false. No effect when it
-    /// holds.
+    /// The node's view names it home. Claims are to be sent to `predecessors` (the first ones, over all
+    /// listed VMs, dead ones too, of rankHomes, and whoever the digests name as holder) and repeated until
+    /// isAwaiting() is false. No effect when it holds.
     void claim(std::span<const utils::node_id> predecessors, utils::time_point now);
+    /// The node's view names another home again. A claim kept for later would have its T run while that home
+    /// lives.
+    void withdrawClaim();
+    /// Nodes that still have to answer the claim: send it to them again.
+    std::vector<utils::node_id> claimTargets() const;
     /// Another node claims; `claimantOutranksSelf` by decisions::outranks. Idempotent, so a lost answer is
     /// repaired by the next claim.
     claim_answer onClaim(const utils::node_id& from, bool claimantOutranksSelf);
     /// An answer to the own claim. Late and repeated answers are harmless.
     void onClaimAnswer(const utils::node_id& from, const claim_answer& answer, utils::time_point now);
-    /// Membership: that node has been dead since then.
+    /// Membership: that node has been dead since then, i.e. was last heard then. Tell it again when that
+    /// changes.
     void onNodeDead(const utils::node_id& node, utils::time_point deadSince);
     /// Membership: that node lives after all.
     void onNodeAlive(const utils::node_id& node);
@@ -105,7 +112,8 @@
     void onRemaining(unsigned inFlight);
     /// The node lost its currency for longer than T: another may hold the server now, so it claims again.
     void loseCurrency();
-    /// The server's own report.
+    /// The server's own report; also while awaiting: a claimant that no holder answers takes over what it
+    /// shows, and does not dispatch before it has one (unless the server has not reported for reportLife).
     void onServerReport(const server_report& report, utils::time_point now);
     /// The document changed the server's slots, or its ramp-up moved on (rampUpWeight).
     void setCapacity(unsigned slots, double rampUp);
@@ -143,7 +151,7 @@
     void resolve(utils::time_point now);
     void hold(utils::time_point now);
     void recordCount(utils::time_point now);
-    unsigned countAt(utils::time_point when) const;
+    unsigned lowestCountNear(utils::time_point when) const;
     unsigned slotShare(const fleet_state& fleet) const;
 
     utils::node_id m_self;
--- a/src/libs/decisions/loadview.cpp
+++ b/src/libs/decisions/loadview.cpp
@@ -55,9 +55,10 @@
         if (now - entry.countedAt <= entryLife)
             living.add(entry);
     }
-    if (living.slots <= 0)
+    const double slots = std::max(living.slots, m_poolSlots);
+    if (slots <= 0)
         return {};
-    return { living.inFlight / living.slots, living.slots };
+    return { living.inFlight / slots, slots };
 }
 
 mean_load load_view::observe(utils::time_point now)
--- a/src/libs/decisions/loadview.h
+++ b/src/libs/decisions/loadview.h
@@ -15,6 +15,8 @@
 /// Load of one backend server as its home counted it.
 struct load_entry {
     utils::server_id server;
+    /// home_ledger::ownInFlight of the holder. Not its load: what a new home takes over from reports is
+    /// counted rather too high, which is safe in its bound and unsafe in the others' mean.
     unsigned inFlight = 0;
     double slots = 1; ///< slots x ramp-up
     utils::time_point countedAt; ///< by the reader's clock: time of arrival less the age that it came with
@@ -29,8 +31,13 @@
 public:
     /// Takes an entry unless a younger one of the server is known.
     void merge(const load_entry& entry);
-    /// Forgets a server that left the pool.
+    /// Forgets the load of a server that left the pool, or whose holder died: what the holder last counted
+    /// says nothing any more, and as long as no new home counts, the server is taken for idle.
     void remove(const utils::server_id& server);
+    /// Slots x ramp-up of all servers of the pool that take new requests. A server not heard of counts as
+    /// idle: a node that has heard of few would else compare its own servers with themselves and know no
+    /// bound.
+    void setPoolSlots(double slots) { m_poolSlots = slots; }
     /// The pool's mean load; entries older than `entryLife` no longer count.
     mean_load mean(utils::time_point now) const;
     /// As mean, with the lowest mean of the last `lowestWindow` filled in. Call it at each decision.
@@ -54,6 +61,7 @@
     };
 
     std::deque<second_low> m_lows;
+    double m_poolSlots = 0;
     std::vector<load_entry> m_entries;
     std::unordered_map<utils::server_id, std::size_t> m_index;
 };
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -5,8 +5,6 @@
 
 #include <array>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace utils {
 
 namespace {
--- a/src/tools/measure/homepolicy.cpp
+++ b/src/tools/measure/homepolicy.cpp
@@ -172,7 +172,7 @@
         for (const auto& entry : m_routers[m_bench->trace().turns[turn].entryNode].view.youngest(sharedLoads))
             view.merge(entry);
     }
-    view.merge({ m_servers[engine].id, home.ledger.load(now), home.ledger.weight(), now });
+    view.merge({ m_servers[engine].id, home.ledger.ownInFlight(), home.ledger.weight(), now });
     const auto nodes = m_bench->size().nodes;
     const auto mean = m_settings.usesLowestMean ? view.observe(now) : view.mean(now);
     const decisions::fleet_state fleet { mean, nodes, nodes, true };
@@ -189,7 +189,7 @@
     const auto& home = m_homes[engine];
     if (m_settings.sharesLoads)
         m_routers[request.entryNode].view.merge(
-            { m_servers[engine].id, home.ledger.load(now), home.ledger.weight(), now });
+            { m_servers[engine].id, home.ledger.ownInFlight(), home.ledger.weight(), now });
     if (m_settings.remembers && walk.anchor()) {
         const auto anchorNode = m_homes[indexOf(*walk.anchor())].node;
         const auto tokens = request.promptTokens + request.outputTokens;
@@ -262,7 +262,7 @@
 {
     const auto& home = m_homes[engine];
     m_routers[home.node].view.merge(
-        { m_servers[engine].id, home.ledger.load(now), home.ledger.weight(), now });
+        { m_servers[engine].id, home.ledger.ownInFlight(), home.ledger.weight(), now });
 }
 
 void home_policy::changed(const engine_event& event, utils::time_point now)
@@ -276,8 +276,7 @@
     const bool isBack = event.kind == engine_event_kind::Join || event.kind == engine_event_kind::Return;
     server.health = m_bench->engines()[engine].isUp ? 1 : 0;
     server.isLeaving = m_bench->engines()[engine].isLeaving;
-    if (isBack)
-        rampUp(now);
+    rampUp(now);
     if (event.kind == engine_event_kind::Leave && m_settings.exportsCache)
         exportCache(engine, now);
     for (auto& router : m_routers) {
@@ -308,10 +307,14 @@
 
 void home_policy::rampUp(utils::time_point now)
 {
+    double poolSlots = 0;
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
         m_servers[i].rampUp = decisions::rampUpWeight(m_bench->engines()[i].joinedAt, now);
         m_homes[i].ledger.setCapacity(engineSlots, m_servers[i].rampUp);
+        poolSlots += m_bench->engines()[i].takesNew() ? m_homes[i].ledger.weight() : 0;
     }
+    for (auto& router : m_routers)
+        router.view.setPoolSlots(poolSlots);
 }
 
 void home_policy::tick(utils::time_point now)
