--- a/src/tools/load/answercheck.cpp
+++ b/src/tools/load/answercheck.cpp
@@ -151,4 +151,41 @@
         mark(record, call_end::Broken, "answer of another request: " + answer.body.substr(0, quotedBytes));
 }
 
+std::string judgeSubmission(call_record& record, const raw_answer& answer)
+{
+    if (judgeFailure(record, answer))
+        return {};
+    boost::system::error_code error;
+    const json::value body = json::parse(answer.body, error);
+    const std::string id = error ? std::string() : textAt(body, "/id");
+    if (id.empty())
+        mark(record, call_end::Broken, "a draft accepted without an id");
+    return id;
+}
+
+bool judgePoll(call_record& record, const raw_answer& answer, std::string_view prompt, std::size_t tokens)
+{
+    constexpr int statusNotFound = 404;
+    if (answer.isComplete && answer.status == statusNotFound) {
+        mark(record, call_end::Broken, "an accepted draft is not known any more");
+        return true;
+    }
+    boost::system::error_code error;
+    const json::value body = json::parse(answer.body, error);
+    // A node that is down or not current says nothing about the draft: another is asked next.
+    if (!answer.isComplete || answer.status != okStatus || error)
+        return false;
+    record.status = answer.status;
+    if (const std::string kind = textAt(body, "/error/kind"); !kind.empty()) {
+        record.run = textAt(body, "/error/run");
+        mark(record, call_end::Failed, kind);
+        return true;
+    }
+    if (!body.as_object().contains("answer"))
+        return false;
+    const bool isOwn = textAt(body, "/answer/choices/0/message/content") == expectedText(prompt, tokens);
+    mark(record, isOwn ? call_end::Whole : call_end::Broken, isOwn ? "" : "a draft's answer is not its own");
+    return true;
+}
+
 } // namespace load
--- a/src/tools/load/answercheck.h
+++ b/src/tools/load/answercheck.h
@@ -24,4 +24,12 @@
 /// Judges a plain service's answer, which must echo the request's target and body. Thread safe.
 void judgeService(call_record& record, const raw_answer& answer, std::string_view target);
 
+/// Judges the answer to a draft's submission: its id, or empty when it was not accepted, which fills in end,
+/// problem and run. Thread safe.
+std::string judgeSubmission(call_record& record, const raw_answer& answer);
+/// Judges an answer to polling for a draft; true when it is final. Anything but the whole answer of an
+/// accepted draft or an error that says what happened breaks the promise that drafts do not vanish. Thread
+/// safe.
+bool judgePoll(call_record& record, const raw_answer& answer, std::string_view prompt, std::size_t tokens);
+
 } // namespace load
--- a/src/tools/load/callrecord.h
+++ b/src/tools/load/callrecord.h
@@ -12,6 +12,7 @@
     Lookup,
     Payment,
     Booking,
+    Draft, ///< accepted at once, its answer polled for
     Count_
 };
 
--- a/src/tools/load/httpcall.cpp
+++ b/src/tools/load/httpcall.cpp
@@ -44,6 +44,8 @@
         request.set(http::field::authorization, "Bearer " + apiKey);
     if (!planned.key.empty())
         request.set("Idempotency-Key", planned.key);
+    if (planned.isAsync)
+        request.set("Prefer", "respond-async");
     request.body() = planned.body;
     request.prepare_payload();
     return request;
--- a/src/tools/load/ledgercheck.cpp
+++ b/src/tools/load/ledgercheck.cpp
@@ -74,7 +74,8 @@
 {
     std::map<std::string, key_story> stories;
     for (const call_record& record : records) {
-        if (record.key.empty())
+        // Drafts may run again after a crash, and engines count prompts, not keys.
+        if (record.key.empty() || record.kind == request_kind::Draft)
             continue;
         key_story& story = stories[record.key];
         if (record.end == call_end::Whole) {
--- a/src/tools/load/loadreport.cpp
+++ b/src/tools/load/loadreport.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t kinds = static_cast<std::size_t>(request_kind::Count_);
-constexpr std::array<std::string_view, kinds> kindNames { "chat", "lookup", "payment", "booking" };
+constexpr std::array<std::string_view, kinds> kindNames { "chat", "lookup", "payment", "booking", "draft" };
 constexpr std::size_t curvePoints = 100;
 
 /// What the calls of one kind came to.
@@ -108,7 +108,7 @@
         return "ledgers: not read";
     std::set<std::string> keys;
     for (const call_record& record : result.records) {
-        if (!record.key.empty())
+        if (!record.key.empty() && record.kind != request_kind::Draft)
             keys.insert(record.key);
     }
     std::size_t ran = 0;
--- a/src/tools/load/loadrun.cpp
+++ b/src/tools/load/loadrun.cpp
@@ -73,7 +73,11 @@
                 ++m_result.notSent;
                 continue;
             }
-            asio::co_spawn(m_context, follow(m_mix.next(), at), asio::detached);
+            const planned_request request = m_mix.next();
+            if (request.isAsync)
+                asio::co_spawn(m_context, followDraft(request, at), asio::detached);
+            else
+                asio::co_spawn(m_context, follow(request, at), asio::detached);
         }
     }
 
@@ -97,6 +101,53 @@
         --m_inFlight;
     }
 
+    /// A draft: submitted once, then polled for, each time at another node, until its answer is there.
+    asio::awaitable<void> followDraft(planned_request request, clock::time_point at)
+    {
+        ++m_inFlight;
+        std::size_t node = m_mix.nextNode();
+        call_record record = recordFor(request, node, at);
+        timed_answer timed
+            = co_await callNode(m_options.nodes[node], request, m_options.apiKey, callTimeout());
+        const std::string id = judgeSubmission(record, timed.answer);
+        planned_request poll;
+        poll.method = "GET";
+        poll.target = "/v1/drafts/" + id;
+        const clock::time_point end = clock::now() + toDuration(m_options.draftTimeout);
+        bool isFinal = id.empty();
+        while (!isFinal && clock::now() < end) {
+            asio::steady_timer pause(m_context, toDuration(shortestReturn));
+            co_await pause.async_wait(asio::use_awaitable);
+            node = (node + 1) % m_options.nodes.size();
+            timed = co_await callNode(m_options.nodes[node], poll, m_options.apiKey, callTimeout());
+            isFinal = judgePoll(record, timed.answer, request.prompt, m_options.tokens);
+        }
+        if (!isFinal) {
+            record.end = call_end::Broken;
+            record.problem = "an accepted draft has no answer after the draft timeout";
+        }
+        record.latency = secondsBetween(at, timed.endedAt);
+        record.firstByte = secondsBetween(at, timed.firstByteAt);
+        m_result.records.push_back(std::move(record));
+        --m_inFlight;
+    }
+
+    call_record recordFor(const planned_request& request, std::size_t node, clock::time_point at) const
+    {
+        call_record record;
+        record.kind = request.kind;
+        record.key = request.key;
+        record.body = request.body;
+        record.node = m_options.nodes[node];
+        record.plannedAt = secondsBetween(m_start, at);
+        return record;
+    }
+
+    std::chrono::milliseconds callTimeout() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(toDuration(m_options.timeout));
+    }
+
     struct call_outcome {
         call_end end = call_end::Failed;
         double comeBack = 0; ///< seconds
@@ -106,21 +157,15 @@
     asio::awaitable<call_outcome> callOnce(
         const planned_request& request, std::size_t node, clock::time_point at)
     {
-        const std::string& name = m_options.nodes[node];
-        const auto timeout = std::chrono::milliseconds(static_cast<long>(m_options.timeout * 1000));
-        const timed_answer timed = co_await callNode(name, request, m_options.apiKey, timeout);
-        call_record record;
-        record.kind = request.kind;
-        record.key = request.key;
-        record.body = request.body;
-        record.node = name;
+        const timed_answer timed
+            = co_await callNode(m_options.nodes[node], request, m_options.apiKey, callTimeout());
+        call_record record = recordFor(request, node, at);
         if (request.kind == request_kind::Chat)
             judgeChat(record, timed.answer, request.prompt, m_options.tokens);
         else
             judgeService(record, timed.answer, request.target);
         record.latency = secondsBetween(at, timed.endedAt);
         record.firstByte = secondsBetween(at, timed.firstByteAt);
-        record.plannedAt = secondsBetween(m_start, at);
         const double retryAfter = std::strtod(timed.answer.retryAfter.c_str(), nullptr);
         const call_outcome outcome { record.end, std::clamp(retryAfter, shortestReturn, longestReturn) };
         m_result.records.push_back(std::move(record));
--- a/src/tools/load/main.cpp
+++ b/src/tools/load/main.cpp
@@ -1,5 +1,6 @@
-// Load against running daemons: open-loop arrivals of returning chats, lookups, payments and bookings. At the
-// end the answers are compared with the services' ledgers; a broken promise ends it with exit code 1.
+// Load against running daemons: open-loop arrivals of returning chats, lookups, payments, bookings and
+// drafts. At the end the answers are compared with the services' ledgers; a broken promise ends it with exit
+// code 1.
 
 #include "loadoptions.h"
 #include "loadreport.h"
@@ -21,9 +22,11 @@
 DEFINE_double(rate, 20, "requests a second");
 DEFINE_double(seconds, 10, "time in which requests arrive");
 DEFINE_double(chats, 0.5, "share of chats");
-DEFINE_double(lookups, 0.3, "share of lookups");
+DEFINE_double(lookups, 0.25, "share of lookups");
 DEFINE_double(payments, 0.1, "share of payments");
 DEFINE_double(bookings, 0.1, "share of bookings");
+DEFINE_double(drafts, 0.05, "share of drafts, answered later");
+DEFINE_double(draft_timeout, 60, "seconds in which an accepted draft must be answered");
 DEFINE_double(repeats, 0.3, "share of payments and bookings sent again to another node");
 DEFINE_uint32(returning, 50, "chats that return");
 DEFINE_uint32(tokens, 16, "tokens of each answer");
@@ -60,7 +63,8 @@
     options.bookingPath = FLAGS_booking_path;
     options.rate = FLAGS_rate;
     options.seconds = FLAGS_seconds;
-    options.mix = { FLAGS_chats, FLAGS_lookups, FLAGS_payments, FLAGS_bookings };
+    options.mix = { FLAGS_chats, FLAGS_lookups, FLAGS_payments, FLAGS_bookings, FLAGS_drafts };
+    options.draftTimeout = FLAGS_draft_timeout;
     options.repeats = FLAGS_repeats;
     options.chats = FLAGS_returning;
     options.tokens = FLAGS_tokens;
--- a/src/tools/load/requestmix.cpp
+++ b/src/tools/load/requestmix.cpp
@@ -41,6 +41,8 @@
 {
     ++m_number;
     const auto kind = static_cast<request_kind>(m_kinds(m_random));
+    if (kind == request_kind::Draft)
+        return makeDraft();
     return kind == request_kind::Chat ? makeChat() : makeService(kind);
 }
 
@@ -63,22 +65,40 @@
 {
     planned_request request;
     request.kind = request_kind::Chat;
-    request.chat = m_chats(m_random);
     request.method = "POST";
     request.target = "/v1/chat/completions";
     request.prompt = "run " + m_run + " turn " + std::to_string(m_number);
-    std::string& history = m_histories[request.chat];
+    const std::size_t chat = m_chats(m_random);
+    std::string& history = m_histories[chat];
     if (history.size() > longestHistory)
         history.clear();
     if (history.empty())
-        history = messageJson("system", "chat " + m_run + " " + std::to_string(request.chat));
+        history = messageJson("system", "chat " + m_run + " " + std::to_string(chat));
     history += "," + messageJson("user", request.prompt);
-    request.body = R"({"model":)" + json::serialize(json::value(m_options->model))
-        + R"(,"stream":true,"max_tokens":)" + std::to_string(m_options->tokens) + R"(,"messages":[)" + history
-        + "]}";
+    request.body = chatBody(history, true);
     return request;
 }
 
+planned_request request_mix::makeDraft()
+{
+    planned_request request;
+    request.kind = request_kind::Draft;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.key = m_run + "-draft-" + std::to_string(m_number);
+    request.prompt = "run " + m_run + " draft " + std::to_string(m_number);
+    request.body = chatBody(messageJson("user", request.prompt), false);
+    request.isAsync = true;
+    return request;
+}
+
+std::string request_mix::chatBody(const std::string& messages, bool isStreamed) const
+{
+    return R"({"model":)" + json::serialize(json::value(m_options->model)) + R"(,"stream":)"
+        + (isStreamed ? "true" : "false") + R"(,"max_tokens":)" + std::to_string(m_options->tokens)
+        + R"(,"messages":[)" + messages + "]}";
+}
+
 planned_request request_mix::makeService(request_kind kind)
 {
     planned_request request;
--- a/src/tools/load/requestmix.h
+++ b/src/tools/load/requestmix.h
@@ -17,7 +17,7 @@
     std::string body;
     std::string key; ///< idempotency key; empty: none
     std::string prompt; ///< of a chat: its last message
-    std::size_t chat = 0; ///< of a chat: which one
+    bool isAsync = false; ///< a draft: asks for an answer later
 };
 
 /// Makes requests by the shares of the options from one seed. Chats return: each turn repeats the chat's
@@ -37,6 +37,8 @@
 
 private:
     planned_request makeChat();
+    planned_request makeDraft();
+    std::string chatBody(const std::string& messages, bool isStreamed) const;
     planned_request makeService(request_kind kind);
 
     const load_options* m_options;
--- a/tests/auto/load/tst_loadcheck.cpp
+++ b/tests/auto/load/tst_loadcheck.cpp
@@ -95,6 +95,30 @@
     BOOST_TEST((record.end == call_end::Broken));
 }
 
+// A draft was accepted: from then on it has an answer, or says what became of it. Not known any more, or with
+// another's answer, breaks the promise; a node that is down does not.
+BOOST_AUTO_TEST_CASE(accepted_drafts_do_not_vanish)
+{
+    call_record record;
+    BOOST_TEST(
+        load::judgeSubmission(record, { 202, "", {}, R"({"id":"d1","state":"waiting"})", true, {} }) == "d1");
+    const auto poll = [&](int status, const std::string& body, bool isComplete = true) {
+        return load::judgePoll(record, { status, "", {}, body, isComplete, {} }, "mine", 1);
+    };
+    BOOST_TEST(!poll(200, R"({"id":"d1","state":"waiting"})"));
+    BOOST_TEST(!poll(0, "", false));
+    BOOST_TEST(!poll(503, R"({"kind":"node_not_current","run":"not_run"})"));
+    std::ostringstream own;
+    own << R"({"answer":{"choices":[{"message":{"content":")" << std::hex << utils::hash64("mine")
+        << ":0/1 \"}}]}}";
+    BOOST_TEST(poll(200, own.str()));
+    BOOST_TEST((record.end == call_end::Whole));
+    BOOST_TEST(poll(200, R"({"answer":{"choices":[{"message":{"content":"other"}}]}})"));
+    BOOST_TEST((record.end == call_end::Broken));
+    BOOST_TEST(poll(404, R"({"kind":"draft_unknown","run":"not_run"})"));
+    BOOST_TEST((record.end == call_end::Broken));
+}
+
 // A payment that ran twice, one that was answered and never ran, one that ran though every call said not_run:
 // each gives one line. One that may have run may have run once or not at all.
 BOOST_AUTO_TEST_CASE(ledger_shows_broken_promises)
