Test changes of the configuration over real connections

Cause: the matrix of faults runs in process; the client's Done, NotSent and Unknown feed it in the daemon. Ruled out: waiting a guessed time for a change to end; the tests wait for its outcome. Change: tst_configoverhttp plays a lost answer, a late write, a pause and a restart of the stand-in against kv_client and config_store. tst_operators passes on an exception of the API instead of an empty answer, which hid its reason.

--- a/tests/auto/operators/tst_operatorapi.cpp
+++ b/tests/auto/operators/tst_operatorapi.cpp
@@ -53,7 +53,11 @@
         operators::operator_reply reply;
         const operators::operator_request request { method, target, body, key };
         boost::asio::co_spawn(context, api.handle(request, 1000),
-            [&](const std::exception_ptr&, operators::operator_reply got) { reply = std::move(got); });
+            [&](const std::exception_ptr& e, operators::operator_reply got) {
+                if (e)
+                    std::rethrow_exception(e);
+                reply = std::move(got);
+            });
         run();
         return { reply.status, json::parse(reply.body).as_object() };
     }
--- /dev/null
+++ b/tests/auto/platform/tst_configoverhttp.cpp
@@ -0,0 +1,137 @@
+#include "config/documentwriter.h"
+#include "kvstandin/kvserver.h"
+#include "platform/asioclock.h"
+#include "platform/configstore.h"
+#include "platform/kvclient.h"
+#include "utils/crypto.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto callTimeout = std::chrono::milliseconds(200);
+
+/// A node's configuration store over real connections to the stand-in, with the sample document applied.
+struct http_fixture {
+    http_fixture()
+    {
+        std::ifstream file(LYCHEEFRONT_SOURCE_DIR "/share/lycheefront/sample/document.yaml");
+        std::ostringstream text;
+        text << file.rdbuf();
+        config::change_request first = makeRequest("first", 0);
+        for (const auto& [name, section] :
+            config::toSections(config::parseDocument(text.str(), "sample").value))
+            first.edits.emplace_back(config::put_section { name, section });
+        BOOST_TEST_REQUIRE((change(first).verdict == config::change_verdict::Accepted));
+    }
+
+    static config::change_request makeRequest(const std::string& id, utils::config_revision base)
+    {
+        config::change_request request;
+        request.id = id;
+        request.keyHash = utils::sha256Hex("sample-admin-key");
+        request.firstKeyHash = request.keyHash;
+        request.baseRevision = base;
+        return request;
+    }
+
+    /// Approves the team that the sample leaves out.
+    config::change_outcome approve()
+    {
+        config::change_request request = makeRequest("approve", 1);
+        request.edits.emplace_back(
+            config::set_approval { utils::pool_id("press"), utils::team_id("events-site"), true });
+        return change(request);
+    }
+
+    config::change_outcome change(const config::change_request& request)
+    {
+        config::change_outcome outcome;
+        asio::co_spawn(
+            context, store.change(request), [&](const std::exception_ptr& e, config::change_outcome got) {
+                context.stop();
+                if (e)
+                    std::rethrow_exception(e);
+                outcome = std::move(got);
+            });
+        context.run();
+        context.restart();
+        return outcome;
+    }
+
+    /// The change stands in the head once, at revision 2.
+    void checkMadeOnce()
+    {
+        const auto entries = server.store().get({ store.headKey(), {}, 0 }).entries;
+        BOOST_TEST_REQUIRE(entries.size() == 1u);
+        const auto head = config::decodeHead(entries.front().value);
+        BOOST_TEST_REQUIRE(head.has_value());
+        BOOST_TEST(head->revision == 2u);
+        BOOST_TEST((head->findChange("approve") != nullptr));
+    }
+
+    asio::io_context context { 1 };
+    kvstandin::kv_server server { context.get_executor(), 0, 0 };
+    platform::kv_client client { context.get_executor(),
+        { { asio::ip::address_v4::loopback(), server.port() } }, callTimeout };
+    platform::asio_clock clock { context.get_executor() };
+    utils::state_chart chart
+        = utils::state_chart::load(LYCHEEFRONT_SOURCE_DIR "/share/lycheefront/charts/config_change.yaml")
+              .value();
+    platform::config_store<platform::kv_client, platform::asio_clock> store { client, clock, "/t/", chart };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(config_over_http, http_fixture)
+
+BOOST_AUTO_TEST_CASE(lost_answer_is_found_in_the_history)
+{
+    // The service makes the change and the connection breaks before the answer: the operator hears
+    // "accepted", and the change is made once.
+    server.faults().dropAnswers = 1;
+    BOOST_TEST((approve().verdict == config::change_verdict::Accepted));
+    checkMadeOnce();
+}
+
+BOOST_AUTO_TEST_CASE(write_that_arrives_late_and_its_repetition_make_one_change)
+{
+    // The connection breaks, nothing is seen of the write, so it is repeated; then the first one arrives.
+    server.faults().lateWrites = 1;
+    server.faults().lateBy = 2 * callTimeout;
+    BOOST_TEST((approve().verdict == config::change_verdict::Accepted));
+    asio::steady_timer timer(context, 3 * callTimeout);
+    timer.async_wait([&](const boost::system::error_code&) { context.stop(); });
+    context.run();
+    context.restart();
+    checkMadeOnce();
+}
+
+BOOST_AUTO_TEST_CASE(service_that_pauses_for_a_while_ends_in_one_change)
+{
+    // The service is stopped for longer than the calls wait, then goes on with what it had received.
+    server.pause();
+    asio::steady_timer timer(context, 4 * callTimeout);
+    timer.async_wait([&](const boost::system::error_code&) { server.resume(); });
+    BOOST_TEST((approve().verdict == config::change_verdict::Accepted));
+    checkMadeOnce();
+}
+
+BOOST_AUTO_TEST_CASE(service_that_restarts_ends_in_one_change)
+{
+    server.goDown();
+    asio::steady_timer timer(context, callTimeout);
+    timer.async_wait([&](const boost::system::error_code&) { server.comeUp(); });
+    BOOST_TEST((approve().verdict == config::change_verdict::Accepted));
+    checkMadeOnce();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
