Ask the platform for no wrong operator key

Cause: every wrong key made the node read the head, so whoever tries keys could use up the calls that payments need. Ruled out: a limit on tries; with the document in force here the answer is known without the platform. Change: only a node without any configuration reads before it refuses. With the check switched off, tst_operators said: wrong_keys_cost_no_call_to_the_platform: check kv.calls == 0u has failed [100 != 0] Conclusion: tst_operators passes (10 cases). An operator key that was added a moment ago may be refused until the revision has spread.

--- a/src/libs/operators/operatorapi.cpp
+++ b/src/libs/operators/operatorapi.cpp
@@ -154,8 +154,9 @@
         co_return refuse(utils::error_kind::UnknownRoute, path);
     if (found->method != request.method)
         co_return refuse(utils::error_kind::MethodNotAllowed, path + " takes " + found->method);
-    // A node that starts while the service is slow knows no operators yet; it reads before it refuses.
-    if (!isOperator(request.key))
+    // A node that has just started knows no operators yet; it reads before it refuses. Later it does not:
+    // whoever tries keys would spend the calls that the platform's service counts.
+    if (m_configuration->cached()->head.revision == 0 && !isOperator(request.key))
         co_await m_configuration->read();
     if (!isOperator(request.key)) {
         utils::logEvent(utils::event::OperatorRejected, { { "path", path } });
--- a/tests/auto/operators/tst_operatorapi.cpp
+++ b/tests/auto/operators/tst_operatorapi.cpp
@@ -81,6 +81,28 @@
     BOOST_TEST(ask("POST", "/v1/apply", "", text).status == 401u);
 }
 
+BOOST_AUTO_TEST_CASE(wrong_keys_cost_no_call_to_the_platform)
+{
+    // Somebody on the operators' network tries keys as fast as it can. The platform's service takes some
+    // hundred calls a second from the whole fleet; payments would be refused while the keys are tried.
+    kv.calls = 0;
+    for (int i = 0; i < 100; ++i)
+        BOOST_TEST(ask("GET", "/v1/config", "key-" + std::to_string(i)).status == 401u);
+    BOOST_TEST(kv.calls == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(node_that_has_just_started_reads_before_it_refuses)
+{
+    test_store fresh(kv, clock, "/t/", chart);
+    operators::operator_api other(fresh, view, {});
+    operators::operator_reply reply;
+    const operators::operator_request request { "GET", "/v1/history", {}, "events-key" };
+    boost::asio::co_spawn(context, other.handle(request, 1000),
+        [&](const std::exception_ptr&, operators::operator_reply got) { reply = std::move(got); });
+    run();
+    BOOST_TEST(reply.status == 200u);
+}
+
 BOOST_AUTO_TEST_CASE(document_that_was_read_is_edited_and_applied)
 {
     std::string yaml(
