--- a/src/tools/measure/homepolicy.cpp
+++ b/src/tools/measure/homepolicy.cpp
@@ -65,6 +65,8 @@
     ranking.reserve(order.size());
     for (const auto index : order)
         ranking.push_back(m_servers[index].id);
+    if (m_settings.skipsLoaded)
+        askLoadedLast(request.entryNode, ranking, now);
     std::optional<utils::server_id> former;
     if (m_settings.remembers && m_settings.asksFormerAnchor && m_changedAt
         && now - *m_changedAt < formerAnchorLife)
@@ -72,6 +74,19 @@
     walk(turn, decisions::candidate_walk(std::move(ranking), std::move(former)), now);
 }
 
+void home_policy::askLoadedLast(
+    std::size_t node, std::vector<utils::server_id>& ranking, utils::time_point now)
+{
+    if (ranking.empty())
+        return;
+    const auto& view = m_routers[node].view;
+    const double mean = view.mean(now).perSlot;
+    std::stable_partition(ranking.begin() + 1, ranking.end(), [&](const auto& server) {
+        const auto* entry = view.find(server);
+        return !entry || entry->inFlight < mean * entry->slots;
+    });
+}
+
 void home_policy::walk(std::size_t turn, decisions::candidate_walk walk, utils::time_point now)
 {
     while (true) {
--- a/src/tools/measure/homepolicy.h
+++ b/src/tools/measure/homepolicy.h
@@ -27,7 +27,8 @@
     bool sharesLoads = true; ///< requests and answers carry the loads met on the walk
     bool hearsEvictions = true; ///< cache events reach the home, late and with gaps
     bool usesLowestMean = true; ///< c applies to the lowest mean of the last seconds
-    std::size_t digestEntries = 32;
+    bool skipsLoaded = true; ///< the entry node asks servers last that it knows to be at the mean or above
+    std::size_t digestEntries = 12;
     double bound = 0; ///< c in place of the workload's; 0: the workload's
     double draftWaitWorth = 10; ///< patienceFor's waitWorth for drafts
 };
@@ -77,6 +78,7 @@
         std::uint64_t chat;
     };
 
+    void askLoadedLast(std::size_t node, std::vector<utils::server_id>& ranking, utils::time_point now);
     void walk(std::size_t turn, decisions::candidate_walk walk, utils::time_point now);
     bool ask(std::size_t turn, decisions::candidate_walk& walk, const decisions::ask_home& step,
         utils::time_point now);
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -31,6 +31,8 @@
 constexpr std::array measurements {
     measurement { "placement", "cache reuse, load skew and control traffic of placement policies",
         measure::runPlacement },
+    measurement { "placement-cost", "time and memory of a placement decision; times differ from run to run",
+        measure::runPlacementCost },
     measurement { "load", "what callers get under five patterns of load, with safeguards and without",
         measure::runLoadBench },
     measurement { "fleet", "control traffic, detection and spread of the configuration by size of the fleet",
--- a/src/tools/measure/measureoptions.h
+++ b/src/tools/measure/measureoptions.h
@@ -14,6 +14,8 @@
     unsigned threads = 4; ///< runs side by side; no figure depends on it
 };
 
+/// `lycheefront-measure placement-cost`: time and memory of the decisions. Its times differ from run to run.
+int runPlacementCost(const measure_options& options);
 /// `lycheefront-measure placement`: policies side by side on one trace. Returns the exit code.
 int runPlacement(const measure_options& options);
 
--- a/src/tools/measure/placement.cpp
+++ b/src/tools/measure/placement.cpp
@@ -62,6 +62,7 @@
 {
     return { simpleRun<random_policy>("random"), simpleRun<round_robin_policy>("round robin"),
         simpleRun<least_loaded_policy>("least loaded, lagging"),
+        simpleRun<exact_least_policy>("least loaded, exact"),
         simpleRun<two_choices_policy>("two choices, lagging"), simpleRun<rendezvous_policy>("rendezvous"),
         simpleRun<local_bound_policy>("rendezvous, local bound"), homeRun("home nodes", {}) };
 }
@@ -84,6 +85,8 @@
     add("- without wait for cache", [](auto& s) { s.waitsForCache = false; });
     add("- without former anchor", [](auto& s) { s.asksFormerAnchor = false; });
     add("- without cache export", [](auto& s) { s.exportsCache = false; });
+    add("- without asking loaded last", [](auto& s) { s.skipsLoaded = false; });
+    add("- digests of 32 entries", [](auto& s) { s.digestEntries = 32; });
     add("- without shared loads", [](auto& s) { s.sharesLoads = false; });
     add("- without cache events", [](auto& s) { s.hearsEvictions = false; });
     return runs;
--- a/src/tools/measure/simplepolicies.cpp
+++ b/src/tools/measure/simplepolicies.cpp
@@ -105,6 +105,18 @@
     place(turn, best, now);
 }
 
+void exact_least_policy::arrive(std::size_t turn, utils::time_point now)
+{
+    if (refuseIfNone(turn))
+        return;
+    std::size_t best = open().front();
+    for (const auto candidate : open()) {
+        if (bench().engines()[candidate].inFlight < bench().engines()[best].inFlight)
+            best = candidate;
+    }
+    place(turn, best, now);
+}
+
 void two_choices_policy::arrive(std::size_t turn, utils::time_point now)
 {
     if (refuseIfNone(turn))
--- a/src/tools/measure/simplepolicies.h
+++ b/src/tools/measure/simplepolicies.h
@@ -64,6 +64,13 @@
     void second(utils::time_point) { countReports(); }
 };
 
+/// The least loaded engine by its load of this moment, which no router can know: how even loads can be.
+class exact_least_policy : public simple_policy {
+public:
+    using simple_policy::simple_policy;
+    void arrive(std::size_t turn, utils::time_point now);
+};
+
 /// The less loaded of two random engines, by reports of a second ago.
 class two_choices_policy : public simple_policy {
 public:
