--- a/src/libs/operations/draft.cpp
+++ b/src/libs/operations/draft.cpp
@@ -54,6 +54,7 @@
         { "writeProgress", &draft::writeProgress },
         { "writeOutcome", &draft::writeOutcome },
         { "keepExhausted", &draft::keepExhausted },
+        { "dropClaim", &draft::dropClaim },
         { "sealSlot", &draft::sealSlot },
         { "releaseClaim", &draft::releaseClaim },
         { "retryLater", &draft::retryLater },
@@ -159,11 +160,11 @@
 std::string_view draft::eventOf(const platform::kv_reply& reply)
 {
     const pending what = std::exchange(m_pending, pending::Nothing);
-    if (reply.status == platform::kv_status::NotSent)
-        return "kv_not_sent";
-    if (reply.status == platform::kv_status::Unknown) {
-        m_isUnclear = m_isUnclear || what == pending::Accept;
-        return "kv_unknown";
+    m_isUnclear = m_isUnclear || (what == pending::Accept && reply.status == platform::kv_status::Unknown);
+    if (reply.status != platform::kv_status::Done) {
+        // After an unclear write not even "not sent" says that there is no draft.
+        const bool isSure = reply.status == platform::kv_status::NotSent && !m_isUnclear;
+        return isSure ? "kv_not_sent" : "kv_unknown";
     }
     m_retryDelay = m_settings.retryFirst;
     if (what == pending::List)
@@ -215,7 +216,7 @@
         m_record.teamSlot = candidate;
         return "team_listed";
     }
-    return "team_full";
+    return m_isUnclear ? "limit" : "team_full";
 }
 
 std::string_view draft::eventOfDraft(const platform::kv_reply& reply)
@@ -266,6 +267,9 @@
     transaction.onFailure.emplace_back(platform::kv_get { draftKey(m_slot), {}, 0 });
     m_pending = what;
     emit(kv_transact { ++m_lastTicket, std::move(transaction), false });
+    // A retry's timer has replaced the one that ends the caller's wait.
+    if (m_limit != utils::time_point::max())
+        setTimer(m_limit);
 }
 
 void draft::setTimer(utils::time_point at)
@@ -399,6 +403,13 @@
     m_record.failure = why;
 }
 
+void draft::dropClaim(utils::time_point /*now*/)
+{
+    m_claimNow = false;
+    m_record.claims = 0;
+    m_record.claimNonce.clear();
+}
+
 void draft::sealSlot(utils::time_point /*now*/)
 {
     m_limit = utils::time_point::max();
--- a/src/libs/operations/draft.h
+++ b/src/libs/operations/draft.h
@@ -136,6 +136,7 @@
     void writeProgress(utils::time_point now);
     void writeOutcome(utils::time_point now);
     void keepExhausted(utils::time_point now);
+    void dropClaim(utils::time_point now);
     void sealSlot(utils::time_point now);
     void releaseClaim(utils::time_point now);
     void retryLater(utils::time_point now);
--- a/src/libs/operations/draftscanner.cpp
+++ b/src/libs/operations/draftscanner.cpp
@@ -44,6 +44,11 @@
 {
     std::vector<scan_shard> scans;
     for (unsigned shard = 0; shard < draftShards; ++shard) {
+        // Ranks are looked up at the first rank's pace only: hashing every node's name costs more than the
+        // rest.
+        if (now - m_lastLook.at(shard) < m_settings.interval)
+            continue;
+        m_lastLook.at(shard) = now;
         const std::size_t rank = rankOf(m_self, nodes, shard);
         if (rank >= m_settings.ranks)
             continue;
--- a/src/libs/operations/draftscanner.h
+++ b/src/libs/operations/draftscanner.h
@@ -55,6 +55,7 @@
 private:
     utils::node_id m_self;
     scan_settings m_settings;
+    std::array<utils::time_point, draftShards> m_lastLook {};
     std::array<utils::time_point, draftShards> m_lastScan {};
 };
 
--- a/src/libs/operations/modelplacer.cpp
+++ b/src/libs/operations/modelplacer.cpp
@@ -50,8 +50,12 @@
     return take("lease_lost", now);
 }
 
-placer_actions model_placer::wantedChanged(engine_setups wanted, utils::time_point now)
+placer_actions model_placer::wantedChanged(
+    engine_setups wanted, utils::config_revision revision, utils::time_point now)
 {
+    if (revision < m_revision)
+        return {};
+    m_revision = revision;
     m_wanted = std::move(wanted);
     return take("wanted_changed", now);
 }
--- a/src/libs/operations/modelplacer.h
+++ b/src/libs/operations/modelplacer.h
@@ -81,8 +81,10 @@
     placer_actions leaseLost(utils::time_point now);
     /// A new lease after leaseLost; the next try to claim uses it.
     void leaseGranted(std::int64_t lease, utils::time_point leaseEnd);
-    /// What the document in force wants.
-    placer_actions wantedChanged(engine_setups wanted, utils::time_point now);
+    /// What the document of that revision wants. An earlier revision than one seen is ignored: after a pause
+    /// they may come in any order.
+    placer_actions wantedChanged(
+        engine_setups wanted, utils::config_revision revision, utils::time_point now);
     placer_actions onKvReply(std::uint64_t ticket, const platform::kv_reply& reply, utils::time_point now);
     placer_actions onTimer(utils::time_point now);
     /// What the engines run; those that did not answer are left out.
@@ -132,6 +134,7 @@
     utils::time_point m_leaseEnd;
     std::int64_t m_fencingNumber = 0;
     engine_setups m_wanted;
+    utils::config_revision m_revision = 0;
     engine_setups m_running;
     utils::server_id m_target;
     std::int64_t m_permitLease = 0;
--- a/src/libs/utils/chartmachine.h
+++ b/src/libs/utils/chartmachine.h
@@ -30,6 +30,8 @@
 
     /// The chart's state, for logs and tests.
     const std::string& state() const { return m_position.state(); }
+    /// The last event given to the chart, for logs and tests.
+    const std::string& lastEvent() const { return m_lastEvent; }
     /// Whether nothing is left to do: the machine may be deleted.
     bool isFinished() const { return m_position.isFinal(); }
 
@@ -50,6 +52,7 @@
 protected:
     void step(std::string_view event, time_point now)
     {
+        m_lastEvent = event;
         const std::vector<std::string> names = m_position.take(event);
         for (const std::string& name : names) {
             const auto found = Machine::table().find(name);
@@ -63,6 +66,7 @@
 
 private:
     chart_position m_position;
+    std::string m_lastEvent;
     std::vector<Action> m_actions;
 };
 
--- a/tests/auto/operations/benchnodes.cpp
+++ b/tests/auto/operations/benchnodes.cpp
@@ -11,8 +11,10 @@
 void bench_nodes::resume(std::size_t node)
 {
     m_nodes.at(node).isPaused = false;
+    const std::uint64_t boot = m_nodes.at(node).boot;
+    // One of them may stop the node again.
     for (const auto& callback : std::exchange(m_nodes.at(node).heldBack, {}))
-        callback();
+        deliver(node, boot, callback);
 }
 
 void bench_nodes::resumeNewestFirst(std::size_t node)
--- a/tests/auto/operations/draftbench.cpp
+++ b/tests/auto/operations/draftbench.cpp
@@ -63,7 +63,8 @@
     if (worker.lease == 0 || worker.drafts.size() >= room)
         return;
     const std::uint64_t boot = m_nodes.boot(node);
-    for (const operations::scan_shard& due : worker.scanner.dueScans(liveNodes(), m_time.now())) {
+    const std::vector<utils::node_id> members = membersSeenBy ? membersSeenBy(node) : liveNodes();
+    for (const operations::scan_shard& due : worker.scanner.dueScans(members, m_time.now())) {
         m_kv.call(due.transaction, [this, node, boot](const platform::kv_reply& reply) {
             m_nodes.deliver(node, boot, [this, node, boot, reply] {
                 worker_state& at = m_workers[node];
@@ -132,7 +133,10 @@
             const auto again = m_workers[node].drafts.find(id);
             if (again == m_workers[node].drafts.end())
                 return;
-            const operations::draft_actions actions = call(*again->second.machine);
+            operations::draft& machine = *again->second.machine;
+            const std::string before = machine.state();
+            const operations::draft_actions actions = call(machine);
+            afterEvent(before + ' ' + machine.lastEvent());
             for (const operations::draft_action& action : actions)
                 perform(node, boot, id, action);
         });
--- a/tests/auto/operations/draftbench.h
+++ b/tests/auto/operations/draftbench.h
@@ -47,10 +47,13 @@
     void kill(std::size_t node);
     void restart(std::size_t node);
     void leave(std::size_t node);
+    /// The platform ends the node's lease early.
+    void endLease(std::size_t node) { m_kv.endLease(m_workers.at(node).lease); }
     /// The draft as any caller of the team may poll it, without faults.
     std::optional<operations::draft_record> poll(const std::string& id, const std::string& team = "imprenta");
     void cancel(const std::string& id);
 
+    std::vector<utils::node_id> liveNodes() const;
     bench_nodes& nodes() { return m_nodes; }
     virtual_time& time() { return m_time; }
     fake_kv& kv() { return m_kv; }
@@ -65,6 +68,10 @@
     /// Called before each event is given to a machine, with its chart's state.
     std::function<void(std::size_t node, const std::string& state)> beforeEvent
         = [](std::size_t, const std::string&) {};
+    /// Called after it, with the chart's state before and the event: "claiming written".
+    std::function<void(const std::string& step)> afterEvent = [](const std::string&) {};
+    /// The nodes that a node holds alive.
+    std::function<std::vector<utils::node_id>(std::size_t node)> membersSeenBy;
     operations::draft_settings settings;
     unsigned teamLimit = 20;
     std::size_t room = 8; ///< drafts that a node runs at once
@@ -99,7 +106,6 @@
     void perform(
         std::size_t node, std::uint64_t boot, std::uint64_t id, const operations::draft_action& action);
     void run(std::size_t node, std::uint64_t boot, std::uint64_t id, const operations::draft_record& record);
-    std::vector<utils::node_id> liveNodes() const;
 
     const utils::state_chart& m_chart;
     virtual_time m_time;
--- a/tests/auto/operations/fakekv.cpp
+++ b/tests/auto/operations/fakekv.cpp
@@ -33,7 +33,7 @@
         m_time.after(delay, [this, transaction] { apply(transaction); });
         return unknownLater();
     case kv_fate::LateEffect:
-        m_time.after(lateEffectDelay, [this, transaction] { apply(transaction); });
+        m_time.after(lateEffectDelay(), [this, transaction] { apply(transaction); });
         return unknownLater();
     case kv_fate::Slow:
         m_time.after(slowDelay / 2, [this, transaction] { apply(transaction); });
@@ -130,6 +130,8 @@
 
 void fake_kv::endLease(std::int64_t lease)
 {
+    if (lease == 0)
+        return;
     m_leases.erase(lease);
     std::erase_if(m_entries, [lease](const auto& item) { return item.second.lease == lease; });
 }
--- a/tests/auto/operations/fakekv.h
+++ b/tests/auto/operations/fakekv.h
@@ -33,6 +33,9 @@
     std::function<kv_fate(const platform::kv_transaction&)> fate
         = [](const platform::kv_transaction&) { return kv_fate::Answered; };
 
+    /// When a LateEffect takes effect.
+    std::function<utils::duration()> lateEffectDelay = [] { return std::chrono::milliseconds(700); };
+
     void call(const platform::kv_transaction& transaction, const reply_handler& onReply);
     /// Applies at once, without faults.
     platform::kv_reply apply(const platform::kv_transaction& transaction);
@@ -51,7 +54,6 @@
     static constexpr utils::duration delay = std::chrono::milliseconds(3);
     static constexpr utils::duration slowDelay = std::chrono::milliseconds(900);
     static constexpr utils::duration callTimeout = std::chrono::milliseconds(300);
-    static constexpr utils::duration lateEffectDelay = std::chrono::milliseconds(700);
 
 private:
     struct lease_state {
--- a/tests/auto/operations/paymentbench.cpp
+++ b/tests/auto/operations/paymentbench.cpp
@@ -51,7 +51,10 @@
         beforeEvent(sendingIndex);
         // The hook may have paused or killed the node.
         m_nodes.deliver(node, boot, [this, sendingIndex, boot, call] {
-            const operations::operation_actions actions = call(*m_machines.at(sendingIndex));
+            operations::operation& machine = *m_machines.at(sendingIndex);
+            const std::string before = machine.state();
+            const operations::operation_actions actions = call(machine);
+            afterEvent(before + ' ' + machine.lastEvent());
             for (const operations::operation_action& action : actions)
                 perform(sendingIndex, boot, action);
         });
--- a/tests/auto/operations/paymentbench.h
+++ b/tests/auto/operations/paymentbench.h
@@ -72,6 +72,8 @@
         = [](std::size_t) { return std::optional<utils::failure>(); };
     /// Called before each event is given to a machine, with the chart's state it is in.
     std::function<void(std::size_t sendingIndex)> beforeEvent = [](std::size_t) {};
+    /// Called after it, with the chart's state before and the event: "claiming kv_unknown".
+    std::function<void(const std::string& step)> afterEvent = [](const std::string&) {};
     operations::operation_settings settings;
 
     static constexpr utils::duration networkDelay = std::chrono::milliseconds(2);
--- a/tests/auto/operations/placerbench.cpp
+++ b/tests/auto/operations/placerbench.cpp
@@ -6,31 +6,51 @@
 
 placer_bench::placer_bench(const utils::state_chart& chart, std::size_t nodes, bool honoursFencing,
     const std::vector<std::string>& models)
-    : m_nodes(nodes)
+    : m_chart(chart)
+    , m_models(models)
+    , m_nodes(nodes)
     , m_honoursFencing(honoursFencing)
     , m_placers(nodes)
 {
     for (const char* name : { "engine-1", "engine-2", "engine-3" })
         m_engines[utils::server_id(name)].running = { "none", "0", {}, operations::engine_role::Mixed };
-    for (std::size_t node = 0; node < nodes; ++node) {
-        const operations::placer_identity identity { models[node % models.size()],
-            "placer-" + std::to_string(node), honoursFencing, static_cast<unsigned>(node) };
-        m_placers[node].machine = std::make_unique<operations::model_placer>(chart, settings, identity);
-        m_placers[node].lease = m_kv.grantLease(leaseTime);
-        m_placers[node].leaseEnd = leaseTime + m_time.now();
-        m_time.after(std::chrono::milliseconds(node * 10), [this, node] {
-            give(node, [this, node](operations::model_placer& p) {
-                return p.start(m_placers[node].lease, m_placers[node].leaseEnd, m_time.now());
-            });
-            tickNode(node);
-        });
-    }
+    for (std::size_t node = 0; node < nodes; ++node)
+        startNode(node);
+}
+
+void placer_bench::startNode(std::size_t node)
+{
+    placer_state& state = m_placers[node];
+    const std::string nonce = "placer-" + std::to_string(node) + "-" + std::to_string(m_nodes.boot(node));
+    const operations::placer_identity identity { m_models[node % m_models.size()], nonce, m_honoursFencing,
+        static_cast<unsigned>(node) };
+    state.machine = std::make_unique<operations::model_placer>(m_chart, settings, identity);
+    state.lease = m_kv.grantLease(leaseTime);
+    state.leaseEnd = m_time.now() + leaseTime;
+    give(node, [this, node](operations::model_placer& p) {
+        return p.wantedChanged(m_placers[node].wanted, m_revision, m_time.now());
+    });
+    give(node, [this, node](operations::model_placer& p) {
+        return p.start(m_placers[node].lease, m_placers[node].leaseEnd, m_time.now());
+    });
+    tickNode(node);
+}
+
+void placer_bench::restart(std::size_t node)
+{
+    if (m_nodes.isUp(node))
+        return;
+    m_nodes.restart(node);
+    startNode(node);
 }
 
 void placer_bench::tickNode(std::size_t node)
 {
     m_nodes.deliver(node, m_nodes.boot(node), [this, node] {
         placer_state& state = m_placers[node];
+        // A node that has left ends its process, and with it its lease.
+        if (state.machine->isFinished())
+            return m_nodes.kill(node);
         const utils::time_point end = m_time.now() + leaseTime;
         if (m_time.now() >= state.leaseEnd) {
             give(node, [this](operations::model_placer& p) { return p.leaseLost(m_time.now()); });
@@ -43,7 +63,10 @@
             state.leaseEnd = end;
             state.machine->leaseKept(end);
         }
-        m_time.after(tick, [this, node] { tickNode(node); });
+        m_time.after(tick, [this, node, boot = m_nodes.boot(node)] {
+            if (m_nodes.boot(node) == boot)
+                tickNode(node);
+        });
     });
 }
 
@@ -53,7 +76,11 @@
     operations::engine_setups wanted;
     for (const auto& [server, engine] : m_engines)
         wanted[server] = { "thesis-summary", version, adapters, operations::engine_role::Mixed };
-    give(node, [this, wanted](operations::model_placer& p) { return p.wantedChanged(wanted, m_time.now()); });
+    m_placers[node].wanted = wanted;
+    ++m_revision;
+    give(node, [this, wanted, revision = m_revision](operations::model_placer& p) {
+        return p.wantedChanged(wanted, revision, m_time.now());
+    });
 }
 
 void placer_bench::give(std::size_t node, const machine_call& call)
@@ -63,7 +90,10 @@
         beforeEvent(node);
         // The hook may have paused or killed the node.
         m_nodes.deliver(node, boot, [this, node, call] {
-            const operations::placer_actions actions = call(*m_placers[node].machine);
+            operations::model_placer& machine = *m_placers[node].machine;
+            const std::string before = machine.state();
+            const operations::placer_actions actions = call(machine);
+            afterEvent(before + ' ' + machine.lastEvent());
             for (const operations::placer_action& action : actions)
                 perform(node, action);
         });
--- a/tests/auto/operations/placerbench.h
+++ b/tests/auto/operations/placerbench.h
@@ -39,7 +39,11 @@
 
     /// The document in force at that node.
     void setWanted(std::size_t node, const std::string& version, const std::set<std::string>& adapters = {});
+    /// The node stops for good, or until restart with a new machine.
     void kill(std::size_t node);
+    void restart(std::size_t node);
+    /// The platform ends the node's lease early.
+    void endLease(std::size_t node) { m_kv.endLease(m_placers.at(node).lease); }
     void leave(std::size_t node);
 
     bench_nodes& nodes() { return m_nodes; }
@@ -50,6 +54,8 @@
     std::function<order_fate()> orderFate = [] { return order_fate::Answered; };
     /// Called before each event is given to a machine.
     std::function<void(std::size_t node)> beforeEvent = [](std::size_t) {};
+    /// Called after it, with the chart's state before and the event.
+    std::function<void(const std::string& step)> afterEvent = [](const std::string&) {};
     operations::placer_settings settings;
 
     static constexpr utils::duration leaseTime = std::chrono::seconds(15);
@@ -63,9 +69,11 @@
         std::int64_t lease = 0;
         utils::time_point leaseEnd;
         std::uint64_t timers = 0;
+        operations::engine_setups wanted;
     };
     using machine_call = std::function<operations::placer_actions(operations::model_placer&)>;
 
+    void startNode(std::size_t node);
     void tickNode(std::size_t node);
     void give(std::size_t node, const machine_call& call);
     void perform(std::size_t node, const operations::placer_action& action);
@@ -73,10 +81,13 @@
     void order(std::size_t node, const operations::engine_order& order);
     bool carryOut(const operations::engine_order& order);
 
+    const utils::state_chart& m_chart;
+    std::vector<std::string> m_models;
     virtual_time m_time;
     fake_kv m_kv { m_time };
     bench_nodes m_nodes;
     bool m_honoursFencing;
+    utils::config_revision m_revision = 0; ///< one for each setWanted
     std::vector<placer_state> m_placers;
     std::map<utils::server_id, fake_engine> m_engines;
 };
