--- a/src/libs/fleet/membership.cpp
+++ b/src/libs/fleet/membership.cpp
@@ -1,7 +1,6 @@
 #include "membership.h"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 namespace fleet {
@@ -11,8 +10,6 @@
 constexpr std::size_t updateBytes = 240; // six joins, or a dozen of other changes
 constexpr std::size_t briefsInAnswer = 50; // 450 bytes, beside the other lists
 constexpr unsigned maxSyncRounds = 12; // a whole fleet that starts at once learns itself by doubling
-constexpr std::size_t syncedShare = 10; // done when less than a tenth of the list is unheard
-constexpr unsigned relayedProbePeriods = 2;
 
 /// Whether a node that is at work must object to that.
 bool needsRefuting(member_state believed)
@@ -171,137 +168,6 @@
     m_nextRound = now;
 }
 
-void membership::startRound(utils::time_point now)
-{
-    ++m_round;
-    const utils::node_id target = nextTarget();
-    if (!target.isEmpty())
-        startProbe(pending_probe(target, true), false, 0, now);
-    if (m_syncRounds > 0)
-        syncMembers(now);
-    if (m_round % m_options.deadProbeRounds == 0) {
-        // A split that heals is noticed only by trying nodes that were given up.
-        std::vector<utils::node_id> dead;
-        for (const auto& [id, m] : m_members.all()) {
-            if (m.state == member_state::Dead && m.isListed)
-                dead.push_back(id);
-        }
-        if (!dead.empty())
-            probe(dead[m_random() % dead.size()], now);
-        m_members.forgetOld(now, m_options.forgetAfter);
-    }
-}
-
-void membership::startProbe(
-    pending_probe probe, bool wantsMembers, wire::node_tag cursor, utils::time_point now)
-{
-    probe.nonce = m_random();
-    probe.askedAt = now;
-    wire::datagram ping;
-    ping.kind = wire::datagram_kind::Ping;
-    ping.nonce = probe.nonce;
-    ping.wantsMembers = wantsMembers;
-    ping.memberCursor.value = cursor;
-    send(probe.target, std::move(ping));
-    m_probes.push_back(std::move(probe));
-}
-
-void membership::repeatProbe(pending_probe& probe)
-{
-    probe.wasRepeated = true;
-    wire::datagram ping;
-    ping.kind = wire::datagram_kind::Ping;
-    ping.nonce = probe.nonce;
-    send(probe.target, std::move(ping));
-    if (m_options.usesRelays)
-        askRelays(probe);
-}
-
-void membership::askRelays(const pending_probe& probe)
-{
-    std::vector<utils::node_id> relays = randomMembers(m_options.relays + 1);
-    std::erase(relays, probe.target);
-    relays.resize(std::min<std::size_t>(relays.size(), m_options.relays));
-    for (const utils::node_id& relay : relays) {
-        wire::datagram request;
-        request.kind = wire::datagram_kind::ProbeRequest;
-        request.nonce = probe.nonce;
-        request.subject = probe.target;
-        send(relay, std::move(request));
-    }
-}
-
-void membership::expireProbes(utils::time_point now)
-{
-    std::vector<pending_probe> kept;
-    for (pending_probe& probe : std::exchange(m_probes, {})) {
-        const utils::duration age = now - probe.askedAt;
-        if (!probe.detects) {
-            if (age < relayedProbePeriods * m_options.period)
-                kept.push_back(std::move(probe));
-            continue;
-        }
-        if (age >= m_options.period) {
-            const member* m = m_members.find(probe.target);
-            if (m != nullptr && m->isLive())
-                applyUpdate({ probe.target, member_state::Suspect, m->incarnation, {}, {} }, now);
-            continue;
-        }
-        if (age >= m_options.answerTime && !probe.wasRepeated)
-            repeatProbe(probe);
-        kept.push_back(std::move(probe));
-    }
-    m_probes = std::move(kept);
-}
-
-void membership::expireSuspicions(utils::time_point now)
-{
-    std::vector<wire::member_update> deaths;
-    for (const auto& [id, m] : m_members.all()) {
-        if (m.state == member_state::Suspect && now - m.stateSince >= suspicionTime())
-            deaths.push_back({ id, member_state::Dead, m.incarnation, {}, {} });
-    }
-    for (const wire::member_update& death : deaths)
-        applyUpdate(death, now);
-}
-
-void membership::syncMembers(utils::time_point now)
-{
-    std::vector<utils::node_id> reachable;
-    std::size_t unheard = 0;
-    for (const auto& [id, m] : m_members.all()) {
-        if (m.isLive() || m.state == member_state::Listed)
-            reachable.push_back(id);
-        unheard += m.state == member_state::Listed ? 1 : 0;
-    }
-    --m_syncRounds;
-    if (unheard * syncedShare < m_members.all().size())
-        m_syncRounds = 0;
-    if (m_syncRounds > 0 && !reachable.empty())
-        startProbe(pending_probe(reachable[m_random() % reachable.size()]), true, 0, now);
-}
-
-/// Each node in turn, in an order shuffled for each pass: the time until a dead node is probed is bounded.
-utils::node_id membership::nextTarget()
-{
-    const auto isTarget = [](const member& m) { return m.isLive() || m.state == member_state::Listed; };
-    for (int pass = 0; pass < 2; ++pass) {
-        while (!m_order.empty()) {
-            utils::node_id id = m_order.back();
-            m_order.pop_back();
-            const member* m = m_members.find(id);
-            if (m != nullptr && isTarget(*m))
-                return id;
-        }
-        for (const auto& [id, m] : m_members.all()) {
-            if (isTarget(m))
-                m_order.push_back(id);
-        }
-        std::ranges::shuffle(m_order, m_random);
-    }
-    return {};
-}
-
 void membership::applyNews(const wire::datagram& message, const std::string& from, utils::time_point now)
 {
     for (const wire::member_update& update : message.updates)
@@ -423,10 +289,4 @@
     return { m_self.id, m_selfState, m_self.incarnation, m_self.address, m_self.dataCentre.str() };
 }
 
-utils::duration membership::suspicionTime() const
-{
-    const auto rounds = m_options.suspicionRounds + std::bit_width(m_members.all().size() + 1);
-    return rounds * m_options.period;
-}
-
 } // namespace fleet
--- a/src/libs/wire/datagram.h
+++ b/src/libs/wire/datagram.h
@@ -79,9 +79,10 @@
 struct evidence {
     node_tag node = 0;
     std::uint8_t age = 0; ///< in units of `ageUnitMs`, rounded up
-    std::uint8_t revisionLag = 0; ///< how far it was behind the sender's known revision; 255: further
+    std::uint8_t revisionLag = 0; ///< how far it was behind the sender's known revision, up to unknownLag
 
     static constexpr unsigned ageUnitMs = 100;
+    static constexpr unsigned unknownLag = 255;
     static constexpr std::size_t size = 6;
 
     template <class Archive> void serialize(Archive& archive) { archive(node, age, revisionLag); }
