Put an entry back in its place when it cannot be dispatched after all

Cause: the home takes an entry, finds the load bound reached or a suspect not yet alone, and pushed it again: at the end of its team's line, with a new limit for its wait, and through admission, whose refusal nobody looked at, so that its caller would have waited for ever. Ruled out: looking before taking (the answer depends on the class that goes next). Change: fair_queue::putBack; the home uses it. Conclusion: an entry is asked in once.

--- a/src/libs/decisions/fairqueue.cpp
+++ b/src/libs/decisions/fairqueue.cpp
@@ -63,7 +63,7 @@
             continue;
         }
         chargeGuarantees(*index, utils::toSeconds(head.entry.expectedWork));
-        m_running[head.entry.id] = *index;
+        m_running[head.entry.id] = { *index, key, head };
         m_rate.started(head.entry.id, head.entry.expectedWork, now);
         return head.entry;
     }
@@ -76,6 +76,18 @@
     m_rate.finished(id, now, isWhole);
 }
 
+void fair_queue::putBack(entry_id id)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    const running_entry returned = found->second;
+    m_running.erase(found);
+    m_rate.cancelled(id);
+    m_queues.at(returned.queue).items.emplace(returned.key, returned.origin);
+    m_places[id] = { returned.queue, returned.key };
+}
+
 bool fair_queue::remove(entry_id id)
 {
     if (!m_places.contains(id))
@@ -205,7 +217,8 @@
         return false;
     const double part = m_limits.ceiling.at(queue) * static_cast<double>(m_limits.slots);
     const auto allowed = std::max<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(part), 1);
-    return std::ranges::count_if(m_running, [&](const auto& run) { return run.second == queue; }) < allowed;
+    return std::ranges::count_if(m_running, [&](const auto& run) { return run.second.queue == queue; })
+        < allowed;
 }
 
 std::optional<std::size_t> fair_queue::nextClass() const
--- a/src/libs/decisions/fairqueue.h
+++ b/src/libs/decisions/fairqueue.h
@@ -60,6 +60,9 @@
     std::optional<queue_entry> takeNext(utils::time_point now);
     /// A run has ended, whole or not. An unknown id is ignored.
     void finished(entry_id id, utils::time_point now, bool isWhole = true);
+    /// Undoes takeNext for an entry that could not be dispatched after all: it waits on in its old place and
+    /// with its old limit, without being asked in again. An unknown id is ignored.
+    void putBack(entry_id id);
     /// Takes out an entry whose caller has gone. False when it was not queued (running or unknown).
     bool remove(entry_id id);
     /// Takes out what must be refused now: what will not start in time for its deadline or its class's
@@ -102,6 +105,11 @@
         double virtualTime = 0;
         double owed = 0; ///< seconds of work that the guarantee owes the class
     };
+    struct running_entry {
+        std::size_t queue = 0;
+        order_key key;
+        item origin;
+    };
     struct place {
         std::size_t queue = 0;
         order_key key;
@@ -130,7 +138,7 @@
     service_rate m_rate;
     std::array<class_queue, classes> m_queues;
     std::unordered_map<entry_id, place> m_places;
-    std::map<entry_id, std::size_t> m_running; ///< class of each
+    std::map<entry_id, running_entry> m_running;
     std::vector<evicted_entry> m_evicted;
     std::uint64_t m_sequence = 0;
 };
--- a/src/libs/decisions/servicerate.h
+++ b/src/libs/decisions/servicerate.h
@@ -19,6 +19,9 @@
     /// Ends a run. `isWhole`: it ran to its end; cut and cancelled runs do not count as fast ones.
     void finished(entry_id id, utils::time_point now, bool isWhole = true);
 
+    /// A run that has not begun after all: tells nothing about the servers.
+    void cancelled(entry_id id) { m_running.erase(id); }
+
     /// Measured time over expected time, 1 when nothing is known. Always > 0.
     double slowdown(utils::time_point now) const;
     /// Expected slot time still to go of each running entry, times slowdown.
--- a/src/libs/serving/homeservice.cpp
+++ b/src/libs/serving/homeservice.cpp
@@ -391,13 +391,11 @@
         slot_waiter& waiter = *found->second;
         if (waiter.mustRunAlone && slot.ledger.load(now) > 0) {
             // It goes when the server is empty; until then nothing else starts, or it would never be.
-            slot.queue.finished(entry->id, now, false);
-            slot.queue.push(*entry, now);
+            slot.queue.putBack(entry->id);
             break;
         }
         if (slot.ledger.admit(entry->id, true, bound, state, now) != decisions::admit_verdict::Admitted) {
-            slot.queue.finished(entry->id, now, false);
-            slot.queue.push(*entry, now);
+            slot.queue.putBack(entry->id);
             break;
         }
         if (waiter.mustRunAlone)
--- a/tests/auto/decisions/tst_fairqueue.cpp
+++ b/tests/auto/decisions/tst_fairqueue.cpp
@@ -193,6 +193,22 @@
     BOOST_TEST(!queue.remove(2));
 }
 
+// The server's load bound turns out to be reached after the entry was taken. The caller waits on in its
+// place, before those who came later, and is refused at its old limit, not at a new one.
+BOOST_AUTO_TEST_CASE(entry_put_back_keeps_place_and_limit)
+{
+    fair_queue queue(oneSlot());
+    queue.push(makeEntry(1, "a", priority_class::Chat, 1s, at(9s)), at(0s));
+    queue.push(makeEntry(2, "a", priority_class::Chat, 1s), at(0s));
+    BOOST_REQUIRE(queue.takeNext(at(0s)).has_value());
+    queue.putBack(1);
+    BOOST_TEST(queue.running() == 0U);
+    BOOST_TEST((queue.nextExpiry() == at(8s) + 1us));
+    const auto again = queue.takeNext(at(1s));
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->id == 1);
+}
+
 // A server becomes ten times slower. The runs that are still going show it before any has finished, and
 // callers who would wait too long are refused at once.
 BOOST_AUTO_TEST_CASE(slow_server_is_seen_from_what_still_runs)
