Keep the mean load up to date where a home decides

A home compared its server with a mean made of digests up to seconds old, its own server's included, so at the start of a burst every home found itself above the bound and queued. Change: a home merges its own count at each decision; the entry node hands on the loads that refusing homes have named; the pool's slots are set, without which the bound has no base; digests carry the own count; a pool's max_wait bounds its queue; the lender forgets idle teams. Conclusion: the bound stays, its mean is no longer the lag's.

--- a/src/libs/serving/homeservice.cpp
+++ b/src/libs/serving/homeservice.cpp
@@ -253,6 +253,12 @@
     if (!slot) {
         decisions::fair_queue_limits limits;
         limits.slots = entry->slots;
+        const utils::duration longest = m_context.document->pools.at(pool).maxWait;
+        for (const auto priority :
+            { decisions::priority_class::Interactive, decisions::priority_class::Chat }) {
+            utils::duration& wait = limits.admission.maxWait.at(static_cast<std::size_t>(priority));
+            wait = std::min(wait, longest);
+        }
         slot = std::make_unique<home_slot>(m_context.fleet->self(), entry->slots, limits);
         m_poolOf[server] = pool;
     }
@@ -305,6 +311,7 @@
         co_return notRun(error_kind::NoServer);
     if (m_context.isLeaving)
         co_return notRun(error_kind::ShuttingDown);
+    observeLoads(request, *slot, arrival);
     const decisions::entry_id id = ++m_lastEntry;
     slot_waiter waiter(m_context.executor);
     waiter.holdsCache = request.holdsCache;
@@ -362,6 +369,24 @@
     co_return std::nullopt;
 }
 
+void home_service::observeOwn(
+    const utils::pool_id& pool, const utils::server_id& server, const home_slot& slot, utils::time_point now)
+{
+    m_context.loads[pool].merge(
+        { server, slot.ledger.ownInFlight(), static_cast<double>(slot.ledger.slots()), now });
+}
+
+void home_service::observeLoads(
+    const wire::forward_request& request, const home_slot& slot, utils::time_point now)
+{
+    // Digests are a second old. At a burst's start every home would compare itself with an idle fleet and
+    // refuse; with the loads that the entry node has just been told, the least loaded home sees that it is.
+    for (const wire::server_load& load : request.loads)
+        m_context.loads[request.pool].merge(
+            { load.server, load.inFlight, static_cast<double>(load.slots), now });
+    observeOwn(request.pool, request.server, slot, now);
+}
+
 std::optional<failure> home_service::checkPoison(
     const decisions::body_digest& digest, bool& mustRunAlone, utils::time_point now) const
 {
@@ -384,6 +409,7 @@
 void home_service::pump(
     const utils::pool_id& pool, const utils::server_id& server, home_slot& slot, utils::time_point now)
 {
+    observeOwn(pool, server, slot, now);
     const auto state = m_context.fleet->stateFor(pool, server, now);
     const auto bound = boundOf(pool);
     while (slot.queue.size() > 0 && !slot.aloneFor) {
--- a/src/libs/serving/homeservice.h
+++ b/src/libs/serving/homeservice.h
@@ -80,6 +80,10 @@
         utils::duration took, utils::time_point now);
 
 private:
+    /// Brings the pool's mean up to date with what is known here and what the entry node was told.
+    void observeLoads(const wire::forward_request& request, const home_slot& slot, utils::time_point now);
+    void observeOwn(const utils::pool_id& pool, const utils::server_id& server, const home_slot& slot,
+        utils::time_point now);
     const config::backend_server* findServer(const wire::forward_request& request) const;
     std::optional<decisions::spill_record> rememberedElsewhere(const wire::forward_request& request) const;
     std::optional<utils::failure> checkPoison(
--- a/src/libs/serving/livefleet.cpp
+++ b/src/libs/serving/livefleet.cpp
@@ -122,6 +122,10 @@
     std::vector<fleet::homed_server> servers;
     m_poolOf.clear();
     for (const auto& [poolId, pool] : document.pools) {
+        double slots = 0;
+        for (const config::backend_server& server : pool.servers)
+            slots += server.isLeaving ? 0 : server.slots;
+        m_context.loads[poolId].setPoolSlots(slots);
         for (const config::backend_server& server : pool.servers) {
             servers.push_back({ server.id, server.dataCentre });
             m_poolOf[server.id] = poolId;
@@ -188,7 +192,7 @@
         const decisions::home_ledger& ledger = entry.second->ledger;
         if (ledger.state() != decisions::home_state::Holding)
             continue;
-        const home_load load { ledger.load(now), ledger.slots() };
+        const home_load load { ledger.ownInFlight(), ledger.slots() };
         with([&](fleet::fleet_node& node, utils::time_point at) {
             node.publish(wire::digest_kind::HomeLoad, server.str(), wire::encode(load), at);
         });
@@ -306,7 +310,7 @@
     decisions::fleet_state state;
     const auto loads = m_context.loads.find(pool);
     if (loads != m_context.loads.end())
-        state.mean = loads->second.mean(now);
+        state.mean = loads->second.observe(now);
     state.isCurrent = m_node->isCurrent(now);
     state.nodesListed = shareUnits;
     state.nodesHeard = static_cast<unsigned>(m_node->shareOf(server, now) * shareUnits);
--- a/src/libs/serving/router.cpp
+++ b/src/libs/serving/router.cpp
@@ -131,6 +131,8 @@
         if (result.isWhole() || (request.mayWait && !result.isHomeGone)
             || !mayGoOn(request, result, attempts, deadline))
             break;
+        if (result.failure && result.failure->kind == error_kind::LoadBound && result.tryInstead.isEmpty())
+            request.loads.push_back({ request.server, result.load, result.slots });
         walk.onAnswer(answerOf(result));
     }
     // A later home that refused without running says nothing of an earlier one that may have run it.
--- a/src/libs/serving/teamlimits.cpp
+++ b/src/libs/serving/teamlimits.cpp
@@ -132,6 +132,7 @@
 void team_limits::tick(utils::time_point now)
 {
     followFleet(now);
+    m_lender.expire(now);
     send(now);
 }
 
--- a/src/libs/wire/forwardmessages.h
+++ b/src/libs/wire/forwardmessages.h
@@ -18,6 +18,15 @@
     template <class Archive> void serialize(Archive& archive) { archive(name, value); }
 };
 
+/// Load of a backend server as its home has just told.
+struct server_load {
+    utils::server_id server;
+    std::uint32_t inFlight = 0;
+    std::uint32_t slots = 1;
+
+    template <class Archive> void serialize(Archive& archive) { archive(server, inFlight, slots); }
+};
+
 /// A request on its way from the entry node to the home node of a backend server.
 struct forward_request {
     std::string requestId;
@@ -34,6 +43,7 @@
     bool holdsCache = false; ///< the server holds the chat's prefix
     bool isSuspect = false; ///< may have crashed a server: runs on one with nothing else in flight
     bool isAnchor = false; ///< the home looks up where the chat was run last
+    std::vector<server_load> loads; ///< of the homes that had no room, so that the next knows the mean
     std::string idempotencyKey; ///< of a request that is not idempotent
     std::string method;
     std::string target;
@@ -43,8 +53,8 @@
     template <class Archive> void serialize(Archive& archive)
     {
         archive(requestId, traceparent, pool, server, team, priority, remainingUs, chat, revision,
-            isIdempotent, mayWait, holdsCache, isSuspect, isAnchor, idempotencyKey, method, target, headers,
-            body);
+            isIdempotent, mayWait, holdsCache, isSuspect, isAnchor, loads, idempotencyKey, method, target,
+            headers, body);
     }
 };
 
