--- a/src/app/lycheefrontd/nodedaemon.cpp
+++ b/src/app/lycheefrontd/nodedaemon.cpp
@@ -79,11 +79,19 @@
     return *endpoint;
 }
 
+/// Refuses what the settings allow and this version does not do, instead of passing over it in silence.
+config::settings supported(config::settings settings)
+{
+    if (!settings.peers.vmList.empty())
+        throw std::runtime_error("peers.vm_list is not supported yet: list the VMs under peers.seeds");
+    return settings;
+}
+
 } // namespace
 
 struct node_daemon::data {
     explicit data(config::settings settings)
-        : context(io.get_executor(), std::move(settings))
+        : context(io.get_executor(), supported(std::move(settings)))
         , keys(readKeys(context.settings.peers))
         , chart(loadChart(context.settings.charts, "operation.yaml"))
         , tls(callerTls(context.settings.callers))
--- a/src/libs/operations/operation.cpp
+++ b/src/libs/operations/operation.cpp
@@ -283,11 +283,13 @@
 void operation::armFollow(utils::time_point now)
 {
     m_limit = now + m_settings.followWindow;
+    m_followDelay = m_settings.followFirst;
 }
 
 void operation::pollLater(utils::time_point now)
 {
-    emit(set_timer { std::min(now + m_settings.followInterval, m_limit) });
+    emit(set_timer { std::min(now + m_followDelay, m_limit) });
+    m_followDelay = std::min(m_followDelay * 2, m_settings.followInterval);
 }
 
 void operation::answerCaller(utils::time_point /*now*/)
--- a/src/libs/operations/operation.h
+++ b/src/libs/operations/operation.h
@@ -30,6 +30,9 @@
     /// How long a second sending waits for the first one's answer, and how often it looks.
     utils::duration followWindow = std::chrono::seconds(2);
     utils::duration followInterval = std::chrono::milliseconds(250);
+    /// The first look; doubles up to followInterval. A caller that asks again right after its answer meets a
+    /// record whose outcome is a batch window away, and waited a whole interval for it.
+    utils::duration followFirst = std::chrono::milliseconds(30);
     /// Largest body that is kept: in base64 with its headers it stays under the platform's megabyte.
     std::size_t maxKeptBody = 640UL * 1024;
 };
@@ -138,6 +141,7 @@
     utils::failure m_refusal;
     utils::time_point m_limit; ///< end of what the present state waits for
     utils::duration m_retryDelay;
+    utils::duration m_followDelay {};
 };
 
 } // namespace operations
--- a/src/libs/serving/answersink.h
+++ b/src/libs/serving/answersink.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "usagescan.h"
+
 #include "utils/errorkind.h"
 #include "wire/forwardmessages.h"
 
@@ -40,6 +42,7 @@
     bool isHomeGone = false; ///< the home node died or was cut off while it had the request
     std::uint64_t crash = 0; ///< names the crash that ended the attempt; 0: none
     bool wasAlone = false; ///< nothing else ran on the server that crashed
+    std::optional<prompt_usage> usage; ///< of a whole answer, where the engine reports it
     int status = 0; ///< the answer's HTTP status, once there is a head
 
     bool isWhole() const { return !failure; }
--- a/src/libs/serving/homeservice.cpp
+++ b/src/libs/serving/homeservice.cpp
@@ -163,6 +163,9 @@
     const utils::time_point end = now();
     if (result.isWhole()) {
         held.setWhole();
+        if (result.usage)
+            m_context.metrics.countPromptTokens(
+                request.pool.str(), result.usage->promptTokens, result.usage->cachedTokens);
         noteWhole(request, digest, end - arrival, end);
     } else if (result.failure->kind != error_kind::CallerGone) {
         span.setError(std::string(utils::answerFor(result.failure->kind).name));
--- a/src/libs/serving/livefleet.cpp
+++ b/src/libs/serving/livefleet.cpp
@@ -4,6 +4,7 @@
 #include "connect.h"
 
 #include "utils/crypto.h"
+#include "utils/eventlog.h"
 #include "utils/hashing.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -163,9 +164,22 @@
     m_context.metrics.countControl("received", counters.bytesReceived - m_counted.bytesReceived,
         counters.datagramsReceived - m_counted.datagramsReceived);
     m_counted = counters;
+    reportDrops();
     m_context.metrics.closeControlWindow(now);
 }
 
+void live_fleet::reportDrops()
+{
+    std::uint64_t dropped = 0;
+    for (int i = 0; i < static_cast<int>(wire::drop_reason::Count_); ++i)
+        dropped += m_node->codec().dropped(static_cast<wire::drop_reason>(i));
+    if (dropped == m_dropsReported)
+        return;
+    utils::logEvent(
+        utils::event::PeerKeyRejected, { { "datagrams", std::to_string(dropped - m_dropsReported) } });
+    m_dropsReported = dropped;
+}
+
 void live_fleet::followHandover(const utils::server_id& server, home_slot& slot, utils::time_point now)
 {
     const fleet::home_handover& handover = m_node->handover();
--- a/src/libs/serving/livefleet.h
+++ b/src/libs/serving/livefleet.h
@@ -64,6 +64,7 @@
     bool isDead(const utils::node_id& node) const;
     void wakeDeathWatches();
     void onAction(const fleet::fleet_action& action);
+    void reportDrops();
     void followHandover(const utils::server_id& server, home_slot& slot, utils::time_point now);
     void publish(const home_service& home, utils::time_point now);
     void readDigests(utils::time_point now);
@@ -76,6 +77,7 @@
     std::map<utils::server_id, utils::pool_id> m_poolOf;
     utils::time_point m_publishedAt;
     fleet::fleet_counters m_counted;
+    std::uint64_t m_dropsReported = 0;
     std::set<death_watch*> m_deathWatches;
     bool m_isLeft = false;
 };
--- a/src/libs/serving/relay.h
+++ b/src/libs/serving/relay.h
@@ -23,6 +23,7 @@
         result.failure = callerGone;
         co_return result;
     }
+    usage_scan scan;
     while (true) {
         const auto bytes = co_await exchange.readSome();
         if (!bytes) {
@@ -31,11 +32,13 @@
         }
         if (bytes->empty())
             break;
+        scan.feed(*bytes);
         if (!co_await sink.body(*bytes)) {
             result.failure = callerGone;
             co_return result;
         }
     }
+    result.usage = scan.find();
     if (!co_await sink.end())
         result.failure = callerGone;
     co_return result;
