Copy a probed server's address; drop state that nobody reads

Cause: probeCrash kept a pointer into the document in force across a wait of up to two seconds. When another document came into force meanwhile, the pointer was dangling. Found by reading; no run has shown it. Change: the address is copied. Removed as dead: the list of requests in flight and a waiter's holdsCache, which were written and never read, the start time of a broken request, and an unused limit. Conclusion: behaviour is the same but for the fault.

--- a/src/libs/serving/homeservice.cpp
+++ b/src/libs/serving/homeservice.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace serving {
 
@@ -317,7 +318,6 @@
     observeLoads(request, *slot, arrival);
     const decisions::entry_id id = ++m_lastEntry;
     slot_waiter waiter(m_context.executor);
-    waiter.holdsCache = request.holdsCache;
     waiter.mustRunAlone = mustRunAlone;
     if (!request.mayWait) {
         const auto state = m_context.fleet->stateFor(request.pool, request.server, arrival);
@@ -336,12 +336,11 @@
         slot->queue.remove(id);
         co_return notRun(error_kind::LoadBound);
     }
-    co_return co_await waitForSlot(request, digest, id, *slot, waiter, held);
+    co_return co_await waitForSlot(request, id, *slot, waiter, held);
 }
 
 asio::awaitable<std::optional<failure>> home_service::waitForSlot(const wire::forward_request& request,
-    const decisions::body_digest& digest, decisions::entry_id id, home_slot& slot, slot_waiter& waiter,
-    ticket& held)
+    decisions::entry_id id, home_slot& slot, slot_waiter& waiter, ticket& held)
 {
     // The coroutine may be destroyed while it waits, when the caller goes: then the guard takes the entry
     // out of the queue, or frees the slot that it was given a moment before.
@@ -368,7 +367,6 @@
     if (waiter.refusal)
         co_return waiter.refusal;
     held = ticket(*this, request.server, id);
-    slot.inFlight[id] = { digest, now() };
     co_return std::nullopt;
 }
 
@@ -464,7 +462,6 @@
     const utils::time_point end = now();
     slot.ledger.finish(id, end);
     slot.queue.finished(id, end, isWhole);
-    slot.inFlight.erase(id);
     if (slot.aloneFor == id)
         slot.aloneFor.reset();
     pump(m_poolOf[server], server, slot, end);
@@ -514,7 +511,7 @@
         || runStateOf(why) == run_state::NotRun)
         return false;
     home_slot& slot = *found->second;
-    slot.brokenLately.push_back({ digest, now });
+    slot.brokenLately.push_back(digest);
     if (slot.isProbingCrash)
         return true;
     slot.isProbingCrash = true;
@@ -533,21 +530,20 @@
     wire::forward_request key;
     key.pool = pool;
     key.server = server;
+    // Copied: another document may be in force, and this one gone, when the connection is settled.
     const config::backend_server* entry = findServer(key);
+    const std::string address = entry == nullptr ? std::string() : entry->address;
     bool isUp = false;
-    if (entry != nullptr) {
-        const auto socket = co_await connectTo(m_context.executor, entry->address, connectTimeout);
+    if (!address.empty()) {
+        const auto socket = co_await connectTo(m_context.executor, address, connectTimeout);
         isUp = socket.has_value();
     }
     slot.isProbingCrash = false;
     slot.lastCrash = 0;
     for (asio::steady_timer* waiter : slot.probeWaiters)
         waiter->cancel();
-    std::vector<decisions::body_digest> suspects;
-    for (const in_flight_request& request : slot.brokenLately)
-        suspects.push_back(request.digest);
-    slot.brokenLately.clear();
-    if (isUp || entry == nullptr)
+    const std::vector<decisions::body_digest> suspects = std::exchange(slot.brokenLately, {});
+    if (isUp || address.empty())
         co_return;
     const utils::time_point seen = now();
     const auto crash
@@ -555,7 +551,7 @@
     slot.lastCrash = crash;
     slot.wasAloneInCrash = suspects.size() == 1;
     m_context.poison.crashed(crash, suspects, seen);
-    m_connections.forget(entry->address);
+    m_connections.forget(address);
     utils::logEvent(utils::event::ServerCrashed,
         { { "server", server.str() }, { "in_flight", std::to_string(suspects.size()) } });
 }
--- a/src/libs/serving/homeservice.h
+++ b/src/libs/serving/homeservice.h
@@ -98,8 +98,7 @@
     boost::asio::awaitable<attempt_result> exchangeWith(
         wire::forward_request& request, const trace_context& parent, Sink& sink);
     boost::asio::awaitable<std::optional<utils::failure>> waitForSlot(const wire::forward_request& request,
-        const decisions::body_digest& digest, decisions::entry_id id, home_slot& slot, slot_waiter& waiter,
-        ticket& held);
+        decisions::entry_id id, home_slot& slot, slot_waiter& waiter, ticket& held);
     decisions::load_bound boundOf(const utils::pool_id& pool) const;
 
     node_context& m_context;
--- a/src/libs/serving/homeslot.h
+++ b/src/libs/serving/homeslot.h
@@ -21,17 +21,10 @@
 
     boost::asio::steady_timer wake;
     bool isAdmitted = false;
-    bool holdsCache = false;
     bool mustRunAlone = false; ///< a poison suspect
     std::optional<utils::failure> refusal;
 };
 
-/// A request on its way through the backend server, for naming suspects when the server crashes.
-struct in_flight_request {
-    decisions::body_digest digest;
-    utils::time_point startedAt;
-};
-
 /// What a home node keeps for one backend server: the exact count, the queue, and who waits.
 struct home_slot {
     home_slot(const utils::node_id& self, unsigned slots, decisions::fair_queue_limits limits)
@@ -43,9 +36,8 @@
     decisions::home_ledger ledger;
     decisions::fair_queue queue;
     std::map<decisions::entry_id, slot_waiter*> waiters;
-    std::map<decisions::entry_id, in_flight_request> inFlight;
     /// Requests whose connection broke a moment ago: if the server turns out to have crashed, suspects.
-    std::vector<in_flight_request> brokenLately;
+    std::vector<decisions::body_digest> brokenLately;
     bool isProbingCrash = false;
     std::vector<boost::asio::steady_timer*> probeWaiters; ///< in the frames of those who wait for the probe
     std::uint64_t lastCrash = 0; ///< names the crash that the last probe found; 0: the server was up
--- a/src/libs/serving/servingconstants.h
+++ b/src/libs/serving/servingconstants.h
@@ -8,9 +8,6 @@
 /// Bytes read from a backend server and passed on at once. One buffer lives per open stream, so this is
 /// most of a stream's memory; a token's event is a few hundred bytes.
 constexpr std::size_t relayBufferSize = 4096;
-/// Largest answer that is kept for a caller that asks again; the platform holds values up to a megabyte
-/// and base64 adds a third.
-constexpr std::size_t keptAnswerLimit = 600UL * 1024;
 /// A backend server that does not accept a connection in this time counts as not reached.
 constexpr std::chrono::seconds connectTimeout { 2 };
 /// Longest silence of a model engine before its first byte and between two.
