--- a/src/libs/fleet/membership.cpp
+++ b/src/libs/fleet/membership.cpp
@@ -14,6 +14,13 @@
 constexpr std::size_t syncedShare = 10; // done when less than a tenth of the list is unheard
 constexpr unsigned relayedProbePeriods = 2;
 
+/// Whether a node that is at work must object to that.
+bool needsRefuting(member_state believed)
+{
+    return believed == member_state::Suspect || believed == member_state::Dead
+        || believed == member_state::Left;
+}
+
 } // namespace
 
 membership::membership(self_info self, membership_options options, std::uint64_t seed)
@@ -194,7 +201,7 @@
     ping.kind = wire::datagram_kind::Ping;
     ping.nonce = probe.nonce;
     ping.wantsMembers = wantsMembers;
-    ping.memberCursor = cursor;
+    ping.memberCursor.value = cursor;
     send(probe.target, std::move(ping));
     m_probes.push_back(std::move(probe));
 }
@@ -308,7 +315,7 @@
         applyUpdate({ message.sender, message.senderState, message.incarnation, from, {} }, now);
         m_members.find(message.sender)->wasHeard = true;
     }
-    refute(message.believedState, message.believedIncarnation);
+    refute(message.believedState, static_cast<std::uint32_t>(message.believedIncarnation.value));
 }
 
 void membership::applyUpdate(const wire::member_update& update, utils::time_point now)
@@ -334,9 +341,7 @@
 
 void membership::refute(member_state believed, std::uint32_t incarnation)
 {
-    const bool isFalse = believed == member_state::Suspect || believed == member_state::Dead
-        || believed == member_state::Left;
-    if (!isFalse || incarnation < m_self.incarnation || m_selfState == member_state::Left)
+    if (!needsRefuting(believed) || incarnation < m_self.incarnation || m_selfState == member_state::Left)
         return;
     m_self.incarnation = incarnation + 1;
     ++m_refutations;
@@ -349,7 +354,7 @@
     answer.kind = wire::datagram_kind::Ack;
     answer.nonce = message.nonce;
     if (message.wantsMembers)
-        fillBriefs(answer, message.memberCursor);
+        fillBriefs(answer, static_cast<wire::node_tag>(message.memberCursor.value));
     sendTo(message.sender, from, std::move(answer));
 }
 
@@ -404,7 +409,8 @@
     const member* receiver = m_members.find(to);
     if (receiver != nullptr) {
         message.believedState = receiver->state;
-        message.believedIncarnation = receiver->incarnation;
+        if (needsRefuting(receiver->state))
+            message.believedIncarnation.value = receiver->incarnation;
     }
     const bool isKnownThere = receiver != nullptr && receiver->wasHeard;
     if (!isKnownThere)
--- a/src/libs/wire/datagram.h
+++ b/src/libs/wire/datagram.h
@@ -156,9 +156,9 @@
     varint revisionKnown;
     utils::node_id subject; ///< ProbeRequest and RelayedAck: the probed node
     member_state believedState = member_state::Alive; ///< what the sender believes of the receiver
-    std::uint32_t believedIncarnation = 0;
+    varint believedIncarnation; ///< 0 unless it needs refuting
     bool wantsMembers = false; ///< a joining node asks for `briefs` beyond `memberCursor`
-    node_tag memberCursor = 0;
+    varint memberCursor; ///< a node_tag
     std::vector<member_update> updates;
     std::vector<member_brief> briefs;
     std::vector<evidence> heard;
--- a/src/tools/measure/main.cpp
+++ b/src/tools/measure/main.cpp
@@ -1,5 +1,6 @@
 // Measures the deciding code on small fakes in virtual time: fixed seeds, the same figures on every run.
 
+#include "fleetbench.h"
 #include "limitbench.h"
 #include "loadbench.h"
 #include "measureoptions.h"
@@ -32,6 +33,8 @@
         measure::runPlacement },
     measurement { "load", "what callers get under five patterns of load, with safeguards and without",
         measure::runLoadBench },
+    measurement { "fleet", "control traffic, detection and spread of the configuration by size of the fleet",
+        measure::runFleet },
     measurement { "limits", "what team limits over the fleet cost a node", measure::runLimitBench },
     measurement { "costs", "processor time and memory of queue, limits and poison register (real time)",
         measure::runQueueCost },
