Judge the silence of an engine by the reading time learned

Cause: an engine that reads a long prompt alone says nothing until it is read. Ruled out: placement (holders were found), load bound, copies that wait. Change: response_times learns from first events how fast a service's engines read; server_silence and the limit of an attempt allow twice the reading and four deviations.

--- /dev/null
+++ b/src/libs/decisions/responsetimes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "utils/time.h"
+
+#include <cstdint>
+
+namespace decisions {
+
+/// When the first event or byte of an answer is expected, counted from the sending of its request.
+struct response_forecast {
+    utils::duration reading {}; ///< of the prompt tokens that the server reads before
+    utils::duration base {}; ///< everything else; of a plain service the work itself
+    utils::duration deviation {}; ///< mean absolute error of past forecasts
+
+    utils::duration expected() const { return reading + base; }
+    /// Hardly any answer begins later: what takes longer is a sign of a fault.
+    utils::duration latest() const { return 2 * reading + base + 4 * deviation; }
+};
+
+/// How fast the backend servers of one service begin to answer, learned from the answers that pass by.
+///
+/// Load: engines of any speed. An engine that reads a long prompt alone says nothing until it is read: with
+/// a limit fit for fast engines, slow ones are taken for dark in the middle of it, the prompt is begun anew
+/// elsewhere, and no engine ever ends it. Not thread safe.
+class response_times {
+public:
+    /// Until answers have come, an engine is taken to read so many tokens a second.
+    static constexpr double firstTokensPerSecond = 25000;
+    /// Until answers have come, this long for all but reading, and as the deviation.
+    static constexpr utils::duration firstBase = std::chrono::milliseconds(20);
+
+    /// An answer began after `took`, with `tokens` of prompts read before by the server as far as known.
+    /// Precondition: the request did not wait for a slot.
+    void began(std::uint32_t tokens, utils::duration took);
+
+    /// With so many tokens to be read before the answer.
+    response_forecast forecast(std::uint32_t tokens) const;
+    double secondsPerToken() const { return m_tokenSeconds / m_tokenSquares; }
+
+private:
+    // Weighted sums of a regression of time over tokens through the base. Older samples lose weight with
+    // the tokens that later ones read, so short prompts do not wash out what long ones have told.
+    static constexpr double firstWeight = 3000; ///< tokens
+    double m_tokenSquares = firstWeight * firstWeight;
+    double m_tokenSeconds = firstWeight * firstWeight / firstTokensPerSecond;
+    double m_base = utils::toSeconds(firstBase);
+    double m_deviation = utils::toSeconds(firstBase);
+};
+
+} // namespace decisions
--- a/src/libs/decisions/serversilence.cpp
+++ b/src/libs/decisions/serversilence.cpp
@@ -10,10 +10,20 @@
     return std::max(least, utils::fromSeconds(utils::toSeconds(target) * share));
 }
 
-void server_silence::sent(
-    const utils::server_id& server, std::uint64_t number, utils::duration limit, utils::time_point now)
+void server_silence::sent(const utils::server_id& server, std::uint64_t number, utils::duration limit,
+    utils::duration reading, utils::time_point now)
 {
-    m_servers[server].waiting[number] = { now, limit };
+    m_servers[server].waiting[number] = { now, limit, reading };
+}
+
+void server_silence::promptRead(const utils::server_id& server, std::uint64_t number)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return;
+    const auto request = found->second.waiting.find(number);
+    if (request != found->second.waiting.end())
+        request->second.reading = utils::duration::zero();
 }
 
 void server_silence::heard(const utils::server_id& server, utils::time_point now)
@@ -39,12 +49,24 @@
     if (found == m_servers.end())
         return false;
     const utils::time_point heardAt = found->second.heardAt;
+    const utils::duration reading = longestReading(server);
     return std::ranges::any_of(found->second.waiting, [&](const auto& entry) {
         const waiting_request& request = entry.second;
-        return now - std::max(request.sentAt, heardAt) > request.limit;
+        return now - std::max(request.sentAt, heardAt) > std::max(request.limit, reading);
     });
 }
 
+utils::duration server_silence::longestReading(const utils::server_id& server) const
+{
+    utils::duration longest {};
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return longest;
+    for (const auto& [number, request] : found->second.waiting)
+        longest = std::max(longest, request.reading);
+    return longest;
+}
+
 utils::time_point server_silence::lastHeard(const utils::server_id& server) const
 {
     const auto found = m_servers.find(server);
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -10,6 +10,7 @@
 #include "decisions/poisonregister.h"
 #include "decisions/recentfailures.h"
 #include "decisions/repeatallowance.h"
+#include "decisions/responsetimes.h"
 #include "decisions/serverchoice.h"
 #include "decisions/serverhealth.h"
 #include "decisions/serverload.h"
@@ -45,6 +46,7 @@
     decisions::server_health health;
     decisions::recent_failures failures;
     decisions::server_silence silence;
+    std::map<std::string, decisions::response_times> responseTimes; ///< by service
     decisions::poison_register poison;
     std::map<std::string, decisions::repeat_allowance> repeats; ///< by service
     connection_pool pool;
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -98,8 +98,9 @@
             co_return attempt_end::NoRepeat;
         }
         m_result.serverDataCentre = entry->dataCentre;
-        std::string head = Wire::encodeRequest(m_request, callTo(*entry));
-        m_use.begin(*entry, now());
+        const copy_source source = copySource(m_context, m_plan, *entry, now());
+        std::string head = Wire::encodeRequest(m_request, callTo(*entry, source));
+        m_use.begin(*entry, unreadTokens(source), m_result.placement.load, now());
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
         m_relay.watchSilence(silenceBeforeAnswer(m_plan));
         const attempt_end end = co_await m_relay.exchange(server, connection);
@@ -149,7 +150,14 @@
         return repeats.trySpend(now());
     }
 
-    upstream_call callTo(const catalogue::backend_server& server)
+    /// Tokens of the prompt that the chosen server neither holds nor copies.
+    std::uint32_t unreadTokens(const copy_source& source) const
+    {
+        const std::uint32_t known = m_result.placement.heldTokens + source.tokens;
+        return m_plan.promptTokens - std::min(m_plan.promptTokens, known);
+    }
+
+    upstream_call callTo(const catalogue::backend_server& server, const copy_source& source)
     {
         upstream_call call;
         call.serverId = server.id.str();
@@ -159,9 +167,9 @@
         call.priority = m_plan.priority;
         call.isPrompt = m_plan.isEngine;
         m_result.copiedFrom = {};
-        if (const catalogue::backend_server* source = copySource(m_context, m_plan, server, now())) {
-            call.copyFrom = source->address;
-            m_result.copiedFrom = source->id;
+        if (source.server != nullptr) {
+            call.copyFrom = source.server->address;
+            m_result.copiedFrom = source.server->id;
         }
         return call;
     }
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -141,11 +141,11 @@
     return context.choice.choose(candidates, query, context.loads, now);
 }
 
-const catalogue::backend_server* copySource(const node_context& context, const request_plan& plan,
+copy_source copySource(const node_context& context, const request_plan& plan,
     const catalogue::backend_server& chosen, utils::time_point now)
 {
     if (!plan.copiesPrompts || plan.parts.empty())
-        return nullptr;
+        return {};
     std::vector<decisions::server_candidate> holders;
     for (const catalogue::backend_server* server : context.servers.present(plan.service)) {
         // A copy from a server that is down would wait for it.
@@ -153,7 +153,8 @@
             holders.push_back(candidateOf(*server, plan, 1));
     }
     const auto source = context.choice.sourceFor(candidateOf(chosen, plan, 1), holders, plan.parts);
-    return source ? context.servers.find(source->server) : nullptr;
+    const catalogue::backend_server* server = source ? context.servers.find(source->server) : nullptr;
+    return server == nullptr ? copy_source() : copy_source { server, source->tokens };
 }
 
 bool hasElsewhere(const request_plan& plan)
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -37,9 +37,15 @@
 std::optional<decisions::placement> chooseServer(const node_context& context, const request_plan& plan,
     const std::set<utils::server_id>& tried, std::uint64_t salt, utils::time_point now);
 
-/// The engine from which the chosen one should copy what it lacks of the prompt; null when there is none.
+/// An engine from which another should copy.
+struct copy_source {
+    const catalogue::backend_server* server = nullptr; ///< null when there is none
+    std::uint32_t tokens = 0; ///< that need not be read then
+};
+
+/// The engine from which the chosen one should copy what it lacks of the prompt.
 /// Precondition: `chosen` is in the directory.
-const catalogue::backend_server* copySource(const node_context& context, const request_plan& plan,
+copy_source copySource(const node_context& context, const request_plan& plan,
     const catalogue::backend_server& chosen, utils::time_point now);
 
 /// How long an attempt may stay silent before it is tried elsewhere, though its server is heard.
--- a/src/libs/gateway/serveruse.cpp
+++ b/src/libs/gateway/serveruse.cpp
@@ -10,18 +10,23 @@
 
 } // namespace
 
-void server_use::begin(const catalogue::backend_server& server, utils::time_point now)
+void server_use::begin(const catalogue::backend_server& server, std::uint32_t unreadTokens,
+    const decisions::load_total& load, utils::time_point now)
 {
     m_server = server.id;
     m_sentAt = now;
     m_heardAt = now;
     m_isPromptPending = true;
     m_serverSilence = decisions::server_silence::limitFor(m_plan.route->targetLatency, m_plan.isEngine);
+    const decisions::response_times& times = m_context.responseTimes[m_plan.service];
+    m_tokensAhead = load.promptTokens + unreadTokens;
+    m_latestAnswer = times.forecast(m_tokensAhead).latest();
+    m_hasSlot = load.requests < server.slots;
     m_context.loads.started(m_server, m_plan.promptTokens);
     m_context.choice.sent(
         { m_server, server.dataCentre, server.slots, 1, m_plan.cacheTokens, server.bornAt, 0 }, m_plan.parts);
     m_context.running[m_number] = { m_server, server.bornAt, m_plan.digest };
-    m_context.silence.sent(m_server, m_number, m_serverSilence, now);
+    m_context.silence.sent(m_server, m_number, m_serverSilence, times.forecast(unreadTokens).latest(), now);
 }
 
 void server_use::heard(utils::time_point now)
@@ -35,11 +40,15 @@
     if (!m_isPromptPending)
         return;
     m_isPromptPending = false;
+    m_latestAnswer = utils::duration::zero();
     m_context.loads.answered(m_server, m_plan.promptTokens);
+    m_context.silence.promptRead(m_server, m_number);
 }
 
 void server_use::firstEvent(utils::time_point now)
 {
+    if (m_isPromptPending && m_hasSlot)
+        m_context.responseTimes[m_plan.service].began(m_tokensAhead, now - m_sentAt);
     promptRead();
     m_context.health.succeeded(m_plan.service, m_server, now - m_sentAt, now);
 }
@@ -74,7 +83,8 @@
 utils::time_point server_use::silentAt(utils::duration limit) const
 {
     const utils::time_point serverHeardAt = std::max(m_heardAt, m_context.silence.lastHeard(m_server));
-    return std::min(m_heardAt + limit, serverHeardAt + m_serverSilence);
+    const utils::duration serverLimit = std::max(m_serverSilence, m_context.silence.longestReading(m_server));
+    return std::min(m_heardAt + std::max(limit, m_latestAnswer), serverHeardAt + serverLimit);
 }
 
 } // namespace gateway
--- a/tests/auto/decisions/tst_serverchoice.cpp
+++ b/tests/auto/decisions/tst_serverchoice.cpp
@@ -298,9 +298,9 @@
     const utils::duration limit = decisions::server_silence::limitFor(1s, true);
     BOOST_TEST((limit == 1s));
     BOOST_TEST((decisions::server_silence::limitFor(300ms, false) == 400ms));
-    silence.sent(dark, 1, limit, at(0s));
-    silence.sent(busy, 2, limit, at(0s));
-    silence.sent(busy, 3, limit, at(0s));
+    silence.sent(dark, 1, limit, 0s, at(0s));
+    silence.sent(busy, 2, limit, 0s, at(0s));
+    silence.sent(busy, 3, limit, 0s, at(0s));
     for (int i = 1; i <= 20; ++i)
         silence.heard(busy, at(i * 100ms));
     BOOST_TEST(!silence.isSilent(dark, at(900ms)));
