Count what is yet to be read, withdraw what was not, confirm removals by settled peers

Cause: (1) a node counted whole prompts as waiting at an engine, also the parts that it holds, so a holder looked as busy as one that reads. (2) An engine that was stopped in the middle of a prompt was taken to hold it; the next attempt allowed it no time to read. Change: unread tokens in loads; withdrawn placements, told to peers; tokens of peers count for the silence of a server; beats say whether their node is settled, and what such a node knows to be removed is dropped. Tests: a_prompt_that_was_not_read_is_not_held, prompts_of_other_nodes_are_given_time, a_settled_peer_confirms_what_the_store_says_has_gone.

--- a/src/libs/catalogue/serverdirectory.cpp
+++ b/src/libs/catalogue/serverdirectory.cpp
@@ -113,6 +113,16 @@
     return result;
 }
 
+std::vector<utils::server_id> server_directory::lapsed() const
+{
+    std::vector<utils::server_id> result;
+    for (const auto& [id, state] : m_entries) {
+        if (state.dropAt)
+            result.push_back(id);
+    }
+    return result;
+}
+
 std::size_t server_directory::usableCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_entries,
--- a/src/libs/catalogue/serverdirectory.h
+++ b/src/libs/catalogue/serverdirectory.h
@@ -55,6 +55,8 @@
     /// All servers of a service that have not gone, those that drain too, by id.
     std::vector<const backend_server*> present(const std::string& service) const;
     std::size_t size() const { return m_entries.size(); }
+    /// Servers whose entries went missing and may come back.
+    std::vector<utils::server_id> lapsed() const;
     /// Servers that take requests.
     std::size_t usableCount() const;
 
--- a/src/libs/decisions/prefixmemory.cpp
+++ b/src/libs/decisions/prefixmemory.cpp
@@ -21,6 +21,18 @@
     }
 }
 
+void prefix_memory::forget(std::span<const shared_part> parts)
+{
+    for (const shared_part& part : parts) {
+        const auto found = m_places.find(part.id);
+        if (found == m_places.end())
+            continue;
+        m_held -= found->second->tokens;
+        m_order.erase(found->second);
+        m_places.erase(found);
+    }
+}
+
 std::uint32_t prefix_memory::heldTokens(std::span<const shared_part> parts) const
 {
     std::uint32_t held = 0;
--- a/src/libs/decisions/prefixmemory.h
+++ b/src/libs/decisions/prefixmemory.h
@@ -30,6 +30,8 @@
 
     /// A request with these parts was sent there.
     void touch(std::span<const shared_part> parts);
+    /// The engine has not read these parts after all.
+    void forget(std::span<const shared_part> parts);
     /// Tokens that the engine need not read: of the leading parts that it holds.
     std::uint32_t heldTokens(std::span<const shared_part> parts) const;
 
--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -188,14 +188,42 @@
     const std::uint32_t sharedTokens = tokensOf(shared);
     const bool isNews = sharedTokens >= leastNoteTokens && memory.heldTokens(shared) < sharedTokens;
     memory.touch(parts);
-    if (isNews && m_notes.size() < maxNotes)
-        m_notes.push_back({ server.id.str(), server.bornAt, { shared.begin(), shared.end() } });
+    if (isNews)
+        addNote(server, shared, false);
+}
+
+void server_choice::withdrawn(
+    const server_candidate& server, std::span<const shared_part> parts, std::uint32_t heldTokens)
+{
+    if (server.cacheTokens == 0)
+        return;
+    std::uint32_t before = 0;
+    while (!parts.empty() && before + parts.front().tokens <= heldTokens) {
+        before += parts.front().tokens;
+        parts = parts.subspan(1);
+    }
+    memoryOf(server.id, server.bornAt, server.cacheTokens).forget(parts);
+    const std::span<const shared_part> shared = sharedOf(parts);
+    if (tokensOf(shared) >= leastNoteTokens)
+        addNote(server, shared, true);
+}
+
+void server_choice::addNote(
+    const server_candidate& server, std::span<const shared_part> parts, bool isWithdrawn)
+{
+    if (m_notes.size() < maxNotes)
+        m_notes.push_back({ server.id.str(), server.bornAt, { parts.begin(), parts.end() }, isWithdrawn });
 }
 
 void server_choice::learned(const placement_note& note, std::uint64_t cacheTokens)
 {
-    if (cacheTokens > 0)
-        memoryOf(utils::server_id(note.server), note.bornAt, cacheTokens).touch(note.parts);
+    if (cacheTokens == 0)
+        return;
+    prefix_memory& memory = memoryOf(utils::server_id(note.server), note.bornAt, cacheTokens);
+    if (note.isWithdrawn)
+        memory.forget(note.parts);
+    else
+        memory.touch(note.parts);
 }
 
 std::vector<placement_note> server_choice::takeNotes()
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -31,6 +31,7 @@
     std::string server;
     std::uint64_t bornAt = 0;
     std::vector<shared_part> parts;
+    bool isWithdrawn = false; ///< they were not read there after all
 };
 
 /// What is to be placed.
@@ -106,7 +107,11 @@
         const std::vector<server_candidate>& holders, std::span<const shared_part> parts) const;
     /// A request with these parts was sent there.
     void sent(const server_candidate& server, std::span<const shared_part> parts);
-    /// Another node has sent a request with these parts there.
+    /// The request ended before its prompt was read; `heldTokens` of it were held before it was sent. What
+    /// came after them is not held, and whoever reads it there next needs the time to do so.
+    void withdrawn(
+        const server_candidate& server, std::span<const shared_part> parts, std::uint32_t heldTokens);
+    /// Another node has sent a request with these parts there, or withdraws it.
     void learned(const placement_note& note, std::uint64_t cacheTokens);
     /// What other nodes should learn, once; bounded.
     std::vector<placement_note> takeNotes();
@@ -141,6 +146,7 @@
     static void boundEngines(std::vector<engine_view>& views, double mean);
     static double costOf(const engine_view& view, const placement_query& query, double heldTokens);
     std::uint32_t heldTokens(const server_candidate& server, std::span<const shared_part> parts) const;
+    void addNote(const server_candidate& server, std::span<const shared_part> parts, bool isWithdrawn);
     prefix_memory& memoryOf(const utils::server_id& server, std::uint64_t bornAt, std::uint64_t cacheTokens);
 
     struct server_memory {
--- a/src/libs/decisions/serverload.cpp
+++ b/src/libs/decisions/serverload.cpp
@@ -71,6 +71,17 @@
     return sum;
 }
 
+std::uint32_t server_loads::mostOfPeers(const utils::server_id& server, utils::time_point now) const
+{
+    std::uint32_t most = 0;
+    for (const auto& [peer, state] : m_peers) {
+        const auto share = state.shares.find(server);
+        if (share != state.shares.end() && now - state.at <= peerLifetime)
+            most = std::max(most, share->second.promptTokens);
+    }
+    return most;
+}
+
 std::map<utils::server_id, load_share> server_loads::ownShares() const
 {
     return { m_own.begin(), m_own.end() };
--- a/src/libs/decisions/serverload.h
+++ b/src/libs/decisions/serverload.h
@@ -13,7 +13,7 @@
 /// What one node has under way at one backend server.
 struct load_share {
     std::uint32_t requests = 0;
-    std::uint32_t promptTokens = 0; ///< of requests whose answer has not begun
+    std::uint32_t promptTokens = 0; ///< yet to be read, of requests whose answer has not begun
 
     template <class Archive> void serialize(Archive& archive) { archive(requests, promptTokens); }
 };
@@ -53,6 +53,8 @@
     load_share own(const utils::server_id& server) const;
     /// All nodes' parts together; at least what the server told lately.
     load_total total(const utils::server_id& server, utils::time_point now) const;
+    /// The most that one peer has there to be read: more than its longest prompt is not known of.
+    std::uint32_t mostOfPeers(const utils::server_id& server, utils::time_point now) const;
     /// This node's shares that are not zero, for its peers.
     std::map<utils::server_id, load_share> ownShares() const;
 
--- a/src/libs/decisions/serversilence.cpp
+++ b/src/libs/decisions/serversilence.cpp
@@ -43,13 +43,14 @@
         m_servers.erase(found);
 }
 
-bool server_silence::isSilent(const utils::server_id& server, utils::time_point now) const
+bool server_silence::isSilent(
+    const utils::server_id& server, utils::time_point now, utils::duration othersReading) const
 {
     const auto found = m_servers.find(server);
     if (found == m_servers.end())
         return false;
     const utils::time_point heardAt = found->second.heardAt;
-    const utils::duration reading = longestReading(server);
+    const utils::duration reading = std::max(longestReading(server), othersReading);
     return std::ranges::any_of(found->second.waiting, [&](const auto& entry) {
         const waiting_request& request = entry.second;
         return now - std::max(request.sentAt, heardAt) > std::max(request.limit, reading);
--- a/src/libs/decisions/serversilence.h
+++ b/src/libs/decisions/serversilence.h
@@ -41,7 +41,9 @@
     /// The request has ended, however.
     void ended(const utils::server_id& server, std::uint64_t number);
 
-    bool isSilent(const utils::server_id& server, utils::time_point now) const;
+    /// `othersReading`: the same as for sent(), of prompts that other nodes have sent there.
+    bool isSilent(const utils::server_id& server, utils::time_point now,
+        utils::duration othersReading = utils::duration::zero()) const;
     /// When it was last heard; the epoch when nothing is under way there.
     utils::time_point lastHeard(const utils::server_id& server) const;
     /// How long it may say nothing for the longest prompt that it has yet to read.
--- a/src/libs/gateway/answerrelay.h
+++ b/src/libs/gateway/answerrelay.h
@@ -49,7 +49,8 @@
         if (!hasElsewhere(m_plan))
             return;
         m_use.restartSilence(now());
-        m_scope->watchSilence([this, limit](utils::time_point) { return m_use.silentAt(limit); }, now());
+        m_scope->watchSilence(
+            [this, limit](utils::time_point present) { return m_use.silentAt(limit, present); }, now());
     }
 
     /// Reads the answer to what was just sent and hands it on.
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -61,6 +61,23 @@
     return allowance;
 }
 
+utils::duration node_context::othersReading(
+    const std::string& service, const utils::server_id& server, utils::time_point present) const
+{
+    const auto times = responseTimes.find(service);
+    const std::uint32_t tokens = loads.mostOfPeers(server, present);
+    if (times == responseTimes.end() || tokens == 0)
+        return utils::duration::zero();
+    return times->second.forecast(tokens).latest();
+}
+
+bool node_context::isSilent(
+    const std::string& service, const utils::server_id& server, utils::time_point present) const
+{
+    return silence.isSilent(server, present)
+        && silence.isSilent(server, present, othersReading(service, server, present));
+}
+
 void node_context::learnPlacement(const decisions::placement_note& note)
 {
     const catalogue::backend_server* server = servers.find(utils::server_id(note.server));
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -60,6 +60,12 @@
 
     /// The repeats that may be sent to a service.
     decisions::repeat_allowance& repeatsOf(const std::string& service);
+    /// How long a backend server may say nothing for the prompts that other nodes have sent there.
+    utils::duration othersReading(
+        const std::string& service, const utils::server_id& server, utils::time_point present) const;
+    /// Whether a backend server seems to be down: requests wait there, and nothing comes.
+    bool isSilent(
+        const std::string& service, const utils::server_id& server, utils::time_point present) const;
     /// Another node has placed a prompt.
     void learnPlacement(const decisions::placement_note& note);
     /// Health follows the directory.
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -38,6 +38,7 @@
         wire::detail::serializeShort(archive, note.server);
         archive(note.bornAt);
         wire::detail::serializeShort(archive, note.parts);
+        archive(note.isWithdrawn);
     }
 };
 
@@ -75,6 +76,7 @@
     std::uint32_t evidenceAgeMs = 0; ///< since it last knew that its configuration is the newest
     bool isLeaving = false;
     bool followsStore = false; ///< hears of changes from the store itself, as far as it knows
+    bool isSettled = false; ///< follows the store, and no entry is missing there for an outage
     bool isShort = false; ///< the lists below are left out: they tell nothing
     std::vector<told_share> shares;
     std::vector<decisions::poison_strike> strikes;
@@ -93,7 +95,7 @@
         wire::detail::serializeShort(archive, node);
         wire::detail::serializeShort(archive, address);
         archive(bootId, sequence, configurationRevision, serversRevision, evidenceAgeMs, isLeaving,
-            followsStore, isShort);
+            followsStore, isSettled, isShort);
         wire::detail::serializeShort(archive, shares);
         wire::detail::serializeShort(archive, strikes);
         wire::detail::serializeShort(archive, placements);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -100,7 +100,7 @@
         m_result.serverDataCentre = entry->dataCentre;
         const copy_source source = copySource(m_context, m_plan, *entry, now());
         std::string head = Wire::encodeRequest(m_request, callTo(*entry, source));
-        m_use.begin(*entry, unreadTokens(source), m_result.placement.load, now());
+        m_use.begin(*entry, unreadTokens(source), m_result.placement, now());
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
         m_relay.watchSilence(silenceBeforeAnswer(m_plan));
         const attempt_end end = co_await m_relay.exchange(server, connection);
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -133,7 +133,8 @@
             context.failures.at(server->id, now)));
     }
     // Where all are silent the cause is most likely on this node's side.
-    const auto isHeard = [&](const auto& candidate) { return !context.silence.isSilent(candidate.id, now); };
+    const auto isHeard
+        = [&](const auto& candidate) { return !context.isSilent(plan.service, candidate.id, now); };
     if (std::ranges::any_of(candidates, isHeard))
         std::erase_if(candidates, [&](const auto& candidate) { return !isHeard(candidate); });
     const decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre,
@@ -149,7 +150,7 @@
     std::vector<decisions::server_candidate> holders;
     for (const catalogue::backend_server* server : context.servers.present(plan.service)) {
         // A copy from a server that is down would wait for it.
-        if (!context.silence.isSilent(server->id, now) && !context.health.isPaused(server->id, now))
+        if (!context.isSilent(plan.service, server->id, now) && !context.health.isPaused(server->id, now))
             holders.push_back(candidateOf(*server, plan, 1));
     }
     const auto source = context.choice.sourceFor(candidateOf(chosen, plan, 1), holders, plan.parts);
--- a/src/libs/gateway/serveruse.cpp
+++ b/src/libs/gateway/serveruse.cpp
@@ -11,7 +11,7 @@
 } // namespace
 
 void server_use::begin(const catalogue::backend_server& server, std::uint32_t unreadTokens,
-    const decisions::load_total& load, utils::time_point now)
+    const decisions::placement& placement, utils::time_point now)
 {
     m_server = server.id;
     m_sentAt = now;
@@ -19,12 +19,14 @@
     m_isPromptPending = true;
     m_serverSilence = decisions::server_silence::limitFor(m_plan.route->targetLatency, m_plan.isEngine);
     const decisions::response_times& times = m_context.responseTimes[m_plan.service];
-    m_tokensAhead = load.promptTokens + unreadTokens;
+    m_tokensAhead = placement.load.promptTokens + unreadTokens;
     m_latestAnswer = times.forecast(m_tokensAhead).latest();
-    m_hasSlot = load.requests < server.slots;
-    m_context.loads.started(m_server, m_plan.promptTokens);
-    m_context.choice.sent(
-        { m_server, server.dataCentre, server.slots, 1, m_plan.cacheTokens, server.bornAt, 0 }, m_plan.parts);
+    m_hasSlot = placement.load.requests < server.slots;
+    m_heldTokens = placement.heldTokens;
+    m_unreadTokens = unreadTokens;
+    m_context.loads.started(m_server, m_unreadTokens);
+    m_candidate = { m_server, server.dataCentre, server.slots, 1, m_plan.cacheTokens, server.bornAt, 0 };
+    m_context.choice.sent(m_candidate, m_plan.parts);
     m_context.running[m_number] = { m_server, server.bornAt, m_plan.digest };
     m_context.silence.sent(m_server, m_number, m_serverSilence, times.forecast(unreadTokens).latest(), now);
 }
@@ -41,7 +43,7 @@
         return;
     m_isPromptPending = false;
     m_latestAnswer = utils::duration::zero();
-    m_context.loads.answered(m_server, m_plan.promptTokens);
+    m_context.loads.answered(m_server, m_unreadTokens);
     m_context.silence.promptRead(m_server, m_number);
 }
 
@@ -55,6 +57,8 @@
 
 void server_use::end(attempt_end end, int status, utils::time_point now)
 {
+    if (m_isPromptPending)
+        m_context.choice.withdrawn(m_candidate, m_plan.parts, m_heldTokens);
     promptRead();
     m_context.loads.finished(m_server);
     m_context.silence.ended(m_server, m_number);
@@ -80,10 +84,11 @@
     return m_heardAt == utils::time_point() ? utils::duration::zero() : now - m_heardAt;
 }
 
-utils::time_point server_use::silentAt(utils::duration limit) const
+utils::time_point server_use::silentAt(utils::duration limit, utils::time_point now) const
 {
     const utils::time_point serverHeardAt = std::max(m_heardAt, m_context.silence.lastHeard(m_server));
-    const utils::duration serverLimit = std::max(m_serverSilence, m_context.silence.longestReading(m_server));
+    const utils::duration serverLimit = std::max({ m_serverSilence,
+        m_context.silence.longestReading(m_server), m_context.othersReading(m_plan.service, m_server, now) });
     return std::min(m_heardAt + std::max(limit, m_latestAnswer), serverHeardAt + serverLimit);
 }
 
--- a/src/libs/gateway/serveruse.h
+++ b/src/libs/gateway/serveruse.h
@@ -18,9 +18,10 @@
     }
 
     /// The request is about to be sent there. `unreadTokens` of its prompt the server is thought to lack;
-    /// `load` is that of before.
+    /// `placement` says what was known of it when it
+    /// was chosen.
     void begin(const catalogue::backend_server& server, std::uint32_t unreadTokens,
-        const decisions::load_total& load, utils::time_point now);
+        const decisions::placement& placement, utils::time_point now);
     /// Something of the answer came.
     void heard(utils::time_point now);
     /// The answer shows that the prompt is read.
@@ -35,7 +36,7 @@
     /// When the attempt is to be given up, as things stand: the request hears nothing for `limit` or for as
     /// long as its prompt and those before it may take, or nothing at all is heard of the server for as long
     /// as makes it suspect.
-    utils::time_point silentAt(utils::duration limit) const;
+    utils::time_point silentAt(utils::duration limit, utils::time_point now) const;
 
     /// Since something of the answer came, or since the request was sent; zero before that.
     utils::duration silentFor(utils::time_point now) const;
@@ -48,10 +49,13 @@
     utils::time_point m_sentAt {};
     utils::time_point m_heardAt {};
     utils::duration m_serverSilence {};
+    std::uint32_t m_unreadTokens = 0; ///< of the prompt, as thought when it was sent
     std::uint32_t m_tokensAhead = 0; ///< read by the server before the answer, those of this prompt included
     utils::duration m_latestAnswer {}; ///< after the sending; zero once the answer has begun
     bool m_hasSlot = false; ///< none was waiting for one when the request was sent
     bool m_isPromptPending = false;
+    std::uint32_t m_heldTokens = 0; ///< of the prompt, thought to be held before it was sent
+    decisions::server_candidate m_candidate;
 };
 
 } // namespace gateway
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/storeview.h
@@ -113,6 +113,21 @@
         logServer(id, source);
     }
 
+    /// A node that the store has served all along knows everything up to this revision: what was removed by
+    /// then has gone, and did not lapse for an outage.
+    void confirmRemovals(std::uint64_t revision, utils::time_point now)
+    {
+        for (const utils::server_id& id : m_context.servers.lapsed()) {
+            const std::uint64_t removedAt
+                = m_removals.revisionOf(std::string(Codec::serverPrefix()) + id.str());
+            if (removedAt == 0 || removedAt > revision)
+                continue;
+            m_context.servers.remove(id, now, true);
+            m_context.updateHealth();
+            logServer(id, "peer");
+        }
+    }
+
     /// All changes up to this revision were taken.
     void serversComplete(std::uint64_t asOf) { m_serversAsOf = std::max(m_serversAsOf, asOf); }
 
--- a/src/libs/gateway/viewkeeper.h
+++ b/src/libs/gateway/viewkeeper.h
@@ -47,6 +47,8 @@
     void hear(const peer_beat& beat, utils::time_point present)
     {
         noteEvidence(beat, present);
+        if (beat.isSettled)
+            m_view.confirmRemovals(beat.serversRevision, present);
         if (!m_view.isBehind(beat.configurationRevision, beat.serversRevision))
             return;
         const bool isConfigurationNew = beat.configurationRevision > m_view.configurationRevision();
@@ -91,6 +93,7 @@
         beat.evidenceAgeMs
             = static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), oldestEvidenceMs));
         beat.followsStore = m_follows && m_isStoreReachable && m_view.isComplete();
+        beat.isSettled = beat.followsStore && !m_context.servers.isSettling(present);
     }
 
     view_copy copy(const view_request& request, utils::time_point present) const
--- a/tests/auto/decisions/tst_serverchoice.cpp
+++ b/tests/auto/decisions/tst_serverchoice.cpp
@@ -288,6 +288,49 @@
     BOOST_TEST(loads.ownShares().empty());
 }
 
+// Guards against engines taken for holders of a prompt that they were stopped from reading: whoever sent it
+// there next allowed it no time to read, and left it in the middle again. Other nodes must hear of it too.
+BOOST_AUTO_TEST_CASE(a_prompt_that_was_not_read_is_not_held)
+{
+    const server_candidate engine { server_id("engine"), "a", 64, 1, 500000, 1 };
+    const std::vector<shared_part> parts { { 1, 600 }, { 2, 30000 }, { 3, 1300 } };
+    const std::vector<shared_part> first { { 1, 600 }, { 9, 100 } };
+    server_choice choice;
+    server_choice peer;
+    const auto tell = [&] {
+        for (const decisions::placement_note& note : choice.takeNotes())
+            peer.learned(note, engine.cacheTokens);
+    };
+    const auto heldBy = [&](const server_choice& node) {
+        return node.choose({ engine }, queryFor(parts, 1), server_loads(), at(0s))->heldTokens;
+    };
+    choice.sent(engine, first);
+    choice.sent(engine, parts);
+    tell();
+    BOOST_TEST(heldBy(choice) == 31900u);
+    BOOST_TEST(heldBy(peer) == 30600u);
+    choice.withdrawn(engine, parts, 600);
+    tell();
+    BOOST_TEST(heldBy(choice) == 600u);
+    BOOST_TEST(heldBy(peer) == 600u);
+}
+
+// Guards against engines left for dark while they read what another node has sent them.
+BOOST_AUTO_TEST_CASE(prompts_of_other_nodes_are_given_time)
+{
+    const server_id engine("engine");
+    decisions::server_silence silence;
+    silence.sent(engine, 1, 1s, 20ms, at(0s));
+    BOOST_TEST(silence.isSilent(engine, at(1200ms)));
+    BOOST_TEST(!silence.isSilent(engine, at(1200ms), 1500ms));
+    BOOST_TEST(silence.isSilent(engine, at(1600ms), 1500ms));
+    server_loads loads;
+    loads.toldByPeer(utils::node_id("x"), { { engine, { 2, 9000 } } }, at(0s));
+    loads.toldByPeer(utils::node_id("y"), { { engine, { 1, 12000 } } }, at(0s));
+    BOOST_TEST(loads.mostOfPeers(engine, at(100ms)) == 12000u);
+    BOOST_TEST(loads.mostOfPeers(engine, at(5s)) == 0u);
+}
+
 // A server goes dark with its connections open. Nothing is heard of it for longer than a first byte takes,
 // so new requests go elsewhere; a server that is busy with a long prompt is heard by its other streams.
 BOOST_AUTO_TEST_CASE(a_dark_server_is_told_from_a_busy_one)
--- a/tests/auto/gateway/tst_storeview.cpp
+++ b/tests/auto/gateway/tst_storeview.cpp
@@ -112,6 +112,23 @@
     BOOST_TEST(context.servers.usable("s").empty());
 }
 
+// Guards against requests to servers that have left while this node alone had lost the store: what it then
+// hears from the store itself it would keep as lapsed for two seconds more.
+BOOST_FIXTURE_TEST_CASE(a_settled_peer_confirms_what_the_store_says_has_gone, view_fixture)
+{
+    view.takeServers({ { "servers/a", "10.0.0.1:1", 3 }, { "servers/b", "10.0.0.2:1", 4 } }, 5, now);
+    context.servers.setStoreReachable(false, now);
+    view.takeServerChange({ { "servers/a", "", 7 }, true }, now);
+    view.takeServerChange({ { "servers/b", "", 9 }, true }, now);
+    context.servers.setStoreReachable(true, now);
+    BOOST_TEST(context.servers.usable("s").size() == 2u);
+    view.confirmRemovals(6, now);
+    BOOST_TEST(context.servers.usable("s").size() == 2u);
+    view.confirmRemovals(8, now);
+    BOOST_REQUIRE(context.servers.usable("s").size() == 1u);
+    BOOST_TEST(context.servers.usable("s").front()->id.str() == "b");
+}
+
 // A node that relies on its peers fetches what has changed since it last knew everything: what was added,
 // what was written anew, and what was removed. Without the removals it would send to servers that are gone.
 BOOST_FIXTURE_TEST_CASE(a_peer_tells_only_what_has_changed, view_fixture)
