Refuse by forecast what would wait too long; urgency by workspace and route

Cause: beyond what the engines do nothing was refused at a gateway. Requests waited until their deadlines, attempts ended as silent drew up the budget of repeats, and where a workspace has a priority all its work was alike for engines. Holders of a part kept a queue while others were free: a place in a queue cost 60 prompt tokens. Ruled out: a limit on the forecast answer (long prompts of the urgent were refused for their own reading), waits by M/G/c priorities (less urgent work starved, plain services refused three in ten), a wait for a slot as the only measure (twice the failures).

--- a/src/libs/catalogue/configuration.cpp
+++ b/src/libs/catalogue/configuration.cpp
@@ -1,5 +1,7 @@
 #include "configuration.h"
 
+#include <set>
+
 namespace catalogue {
 
 namespace {
@@ -29,6 +31,41 @@
     m_routeIndex.clear();
     for (std::size_t i = 0; i < routes.size(); ++i)
         m_routeIndex.emplace(indexKey(routes[i].host, routes[i].pathPrefix), i);
+    buildUrgencies();
+}
+
+configuration::priority_pair configuration::prioritiesOf(const route& route, const workspace* workspace)
+{
+    const int first = workspace == nullptr ? route.priority : workspace->priority.value_or(route.priority);
+    return { first, route.priority };
+}
+
+void configuration::buildUrgencies()
+{
+    // A few values each, while there are thousands of routes and workspaces.
+    std::set<int> ofRoutes;
+    for (const route& route : routes)
+        ofRoutes.insert(route.priority);
+    std::set<std::optional<int>> ofWorkspaces { std::nullopt };
+    for (const workspace& workspace : workspaces)
+        ofWorkspaces.insert(workspace.priority);
+    m_urgencies.clear();
+    for (const int ofRoute : ofRoutes) {
+        for (const std::optional<int> ofWorkspace : ofWorkspaces)
+            m_urgencies[{ ofWorkspace.value_or(ofRoute), ofRoute }] = 0;
+    }
+    const std::size_t size = m_urgencies.size();
+    std::size_t place = 0;
+    for (auto& [pair, urgency] : m_urgencies) {
+        const bool hasRoom = size <= urgencies;
+        urgency = static_cast<int>(hasRoom ? place : place * urgencies / size);
+        ++place;
+    }
+}
+
+int configuration::urgencyOf(const route& route, const workspace* workspace) const
+{
+    return m_urgencies.at(prioritiesOf(route, workspace));
 }
 
 const route* configuration::findRoute(std::string_view host, std::string_view path) const
--- a/src/libs/catalogue/configuration.h
+++ b/src/libs/catalogue/configuration.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 /// What the operators have configured and which backend servers there are, in the product's own terms.
@@ -92,17 +93,30 @@
     std::unordered_map<std::string, std::size_t> keys; ///< index into `workspaces`
     bool needsKeys = false; ///< requests need a key unless their route is public
 
-    /// Builds the index that findRoute uses. To be called once the routes are complete.
+    /// Builds what findRoute and urgencyOf use. To be called once routes and workspaces are complete.
     void buildIndex();
     /// The route of that host with the longest prefix of the path; null when there is none.
     /// Precondition: buildIndex() was called.
     const route* findRoute(std::string_view host, std::string_view path) const;
     /// The workspace that holds the key; null when none does.
     const workspace* findWorkspace(const std::string& key) const;
+    /// The order of a request among all, 0 the most urgent, below `urgencies`: by the workspace's priority,
+    /// and by the route's own where that is the same or not given. Where one priority holds for a whole
+    /// workspace, the route's still tells its urgent work from the rest. Precondition: buildIndex() was
+    /// called; the workspace is of this configuration, or null.
+    int urgencyOf(const route& route, const workspace* workspace) const;
     /// Null when the configuration has no service of that name.
     const service* findService(const std::string& name) const;
 
+    static constexpr int urgencies = 10;
+
 private:
+    /// Priority of the workspace, else of the route; and of the route.
+    using priority_pair = std::pair<int, int>;
+    static priority_pair prioritiesOf(const route& route, const workspace* workspace);
+    void buildUrgencies();
+
+    std::map<priority_pair, int> m_urgencies;
     std::unordered_map<std::string, std::size_t> m_routeIndex; ///< host and prefix to index into `routes`
 };
 
--- /dev/null
+++ b/src/libs/decisions/loadshedding.cpp
@@ -0,0 +1,75 @@
+#include "loadshedding.h"
+
+#include "utils/hashing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace decisions {
+
+std::size_t load_shedder::indexOf(int urgency)
+{
+    return static_cast<std::size_t>(std::clamp(urgency, 0, static_cast<int>(urgencies) - 1));
+}
+
+void load_shedder::seen(int urgency, utils::duration target)
+{
+    utils::duration& shortest = m_targets[indexOf(urgency)];
+    if (shortest == utils::duration::zero() || target < shortest)
+        shortest = target;
+}
+
+utils::duration load_shedder::limitFor(int urgency, utils::duration target) const
+{
+    const auto times = [](utils::duration value, double factor) {
+        return utils::fromSeconds(utils::toSeconds(value) * factor);
+    };
+    std::optional<utils::duration> limit;
+    for (std::size_t i = 0; i < indexOf(urgency); ++i) {
+        if (m_targets[i] == utils::duration::zero())
+            continue;
+        limit = limit ? std::min(m_targets[i], times(*limit, stepDown))
+                      : times(m_targets[i], mostUrgentTargets);
+    }
+    return limit ? std::min(target, times(*limit, stepDown)) : times(target, mostUrgentTargets);
+}
+
+bool load_shedder::mustRefuse(const shed_query& query) const
+{
+    if (query.slotWait <= utils::duration::zero())
+        return false;
+    if (query.expectedAnswer >= query.timeLeft)
+        return true;
+    const utils::duration limit = limitFor(query.urgency, query.target);
+    const double fill = utils::toSeconds(query.queueing) / utils::toSeconds(limit);
+    return fill >= rampBegin + (rampEnd - rampBegin) * utils::toUnitInterval(query.hash);
+}
+
+std::optional<refusal> load_shedder::decide(const shed_query& query, utils::time_point now)
+{
+    age(now);
+    if (!mustRefuse(query)) {
+        ++m_admitted;
+        return std::nullopt;
+    }
+    ++m_refused;
+    const bool isInTime = query.expectedAnswer < query.timeLeft;
+    const auto kind = isInTime ? utils::error_kind::QueueFull : utils::error_kind::DeadlineUnreachable;
+    const utils::duration pause = std::max(shortestPause, backlogTime());
+    return refusal { kind, spreadRetryAfter(pause, pause, query.hash) };
+}
+
+utils::duration load_shedder::backlogTime() const
+{
+    return utils::fromSeconds(utils::toSeconds(countingTime) * m_refused / std::max(1.0, m_admitted));
+}
+
+void load_shedder::age(utils::time_point now)
+{
+    const double kept = std::exp(-utils::toSeconds(now - m_agedAt) / utils::toSeconds(countingTime));
+    m_admitted *= kept;
+    m_refused *= kept;
+    m_agedAt = now;
+}
+
+} // namespace decisions
--- a/src/libs/decisions/responsetimes.cpp
+++ b/src/libs/decisions/responsetimes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace decisions {
 
@@ -10,6 +11,9 @@
 constexpr double memoryTokens = 200000; // after so many tokens read a sample has lost 63% of its weight
 constexpr std::uint32_t leastTokens = 500; // fewer tell more of the base than of the reading
 constexpr double gain = 1.0 / 32; // of a new sample in the averages of base and deviation
+constexpr double occupancyGain = 1.0 / 64; // answers of one service differ by a hundred times in length
+constexpr unsigned reservedPart = 8; // one in so many slots is left to more urgent work
+constexpr double workKept = 1 - 1.0 / 256; // of the work counted, with each request
 
 } // namespace
 
@@ -32,4 +36,25 @@
         utils::fromSeconds(m_deviation) };
 }
 
+void response_times::ended(int urgency, utils::duration occupied)
+{
+    const double seconds = utils::toSeconds(occupied);
+    m_occupancy += occupancyGain * (seconds - m_occupancy);
+    for (double& work : m_work)
+        work *= workKept;
+    m_work[static_cast<std::size_t>(std::clamp(urgency, 0, static_cast<int>(urgencies) - 1))] += seconds;
+}
+
+utils::duration response_times::slotWait(unsigned requests, unsigned slots, int urgency) const
+{
+    const auto own = m_work.begin() + std::clamp(urgency, 0, static_cast<int>(urgencies) - 1);
+    const double moreUrgent = std::accumulate(m_work.begin(), own, 0.0);
+    const unsigned usable = moreUrgent > 0 ? slots - slots / reservedPart : slots;
+    if (requests < usable || slots == 0)
+        return utils::duration::zero();
+    const double all = std::accumulate(own, m_work.end(), moreUrgent);
+    const double ahead = all > 0 ? (moreUrgent + *own) / all : 1;
+    return utils::fromSeconds(ahead * (requests + 1 - usable) * m_occupancy / slots);
+}
+
 } // namespace decisions
--- a/src/libs/decisions/responsetimes.h
+++ b/src/libs/decisions/responsetimes.h
@@ -2,6 +2,7 @@
 
 #include "utils/time.h"
 
+#include <array>
 #include <cstdint>
 
 namespace decisions {
@@ -17,11 +18,12 @@
     utils::duration latest() const { return 2 * reading + base + 4 * deviation; }
 };
 
-/// How fast the backend servers of one service begin to answer, learned from the answers that pass by.
+/// How fast the backend servers of one service answer, learned from the answers that pass by.
 ///
 /// Load: engines of any speed. An engine that reads a long prompt alone says nothing until it is read: with
 /// a limit fit for fast engines, slow ones are taken for dark in the middle of it, the prompt is begun anew
-/// elsewhere, and no engine ever ends it. Not thread safe.
+/// elsewhere, and no engine ever ends it. And servers without a free slot, where a request waits for those
+/// before it: engines take the more urgent first. Not thread safe.
 class response_times {
 public:
     /// Until answers have come, an engine is taken to read so many tokens a second.
@@ -29,13 +31,30 @@
     /// Until answers have come, this long for all but reading, and as the deviation.
     static constexpr utils::duration firstBase = std::chrono::milliseconds(20);
 
+    /// Until answers have come, a request is taken to occupy a slot for so long.
+    static constexpr utils::duration firstOccupancy = std::chrono::milliseconds(100);
+    static constexpr utils::duration firstOccupancyOfStreams = std::chrono::seconds(1);
+
+    explicit response_times(utils::duration occupancy = firstOccupancy)
+        : m_occupancy(utils::toSeconds(occupancy))
+    {
+    }
+
     /// An answer began after `took`, with `tokens` of prompts read before by the server as far as known.
     /// Precondition: the request did not wait for a slot.
     void began(std::uint32_t tokens, utils::duration took);
 
+    /// A request of that urgency has occupied a slot for so long.
+    void ended(int urgency, utils::duration occupied);
+
     /// With so many tokens to be read before the answer.
     response_forecast forecast(std::uint32_t tokens) const;
     double secondsPerToken() const { return m_tokenSeconds / m_tokenSquares; }
+    /// How long a request occupies a slot, on average.
+    double occupancySeconds() const { return m_occupancy; }
+    /// How long a request of that urgency waits for a slot where so many have been sent before it. What is
+    /// less urgent than other work leaves it some slots: else each urgent request interrupts one that runs.
+    utils::duration slotWait(unsigned requests, unsigned slots, int urgency) const;
 
 private:
     // Weighted sums of a regression of time over tokens through the base. Older samples lose weight with
@@ -45,6 +64,9 @@
     double m_tokenSeconds = firstWeight * firstWeight / firstTokensPerSecond;
     double m_base = utils::toSeconds(firstBase);
     double m_deviation = utils::toSeconds(firstBase);
+    static constexpr std::size_t urgencies = 10;
+    double m_occupancy;
+    std::array<double, urgencies> m_work {}; ///< slot time taken of late, by urgency
 };
 
 } // namespace decisions
--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -31,11 +31,11 @@
     return candidate.weight / -std::log(utils::toUnitInterval(mixed));
 }
 
-/// What speaks against an engine besides its work, in prompt tokens.
+/// What speaks against an engine besides its work, as a part of the target.
 double distrustOf(const server_candidate& candidate)
 {
-    const double failed = server_choice::tokensPerFailure * candidate.recentFailures;
-    const double unproven = server_choice::unprovenTokens * (1 - candidate.weight);
+    const double failed = server_choice::distrustPerFailure * candidate.recentFailures;
+    const double unproven = server_choice::unprovenDistrust * (1 - candidate.weight);
     return std::min(failed + unproven, server_choice::mostDistrust);
 }
 
@@ -132,12 +132,15 @@
 
 double server_choice::costOf(const engine_view& view, const placement_query& query, double heldTokens)
 {
+    const response_times& times = query.times;
+    const unsigned slots = view.candidate->slots;
     const double unread = std::max(0.0, query.promptTokens - heldTokens);
-    double cost = view.load.promptTokens + readingCost * unread + tokensPerRequest * view.load.requests;
-    if (view.load.requests >= view.candidate->slots)
-        cost += query.promptTokens + view.load.promptTokens + tokensPerRequest * view.candidate->slots;
-    return cost + view.distrust
-        + tieBreak(*view.candidate, query.salt); // below one token: orders equals only
+    const double reading = (view.load.promptTokens + readingCost * unread) * times.secondsPerToken();
+    const double wait = utils::toSeconds(times.slotWait(view.load.requests, slots, query.urgency));
+    const double steps = fullEngineShare * times.occupancySeconds() * view.load.requests / slots;
+    const double distrust = view.distrust * utils::toSeconds(query.target);
+    constexpr double tieSeconds = 1e-5; // orders equals only
+    return reading + wait + steps + distrust + tieSeconds * tieBreak(*view.candidate, query.salt);
 }
 
 std::optional<placement> server_choice::chooseEngine(const std::vector<server_candidate>& candidates,
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "prefixmemory.h"
+#include "responsetimes.h"
 #include "serverload.h"
 
 #include "utils/ids.h"
@@ -40,6 +41,9 @@
     std::uint32_t promptTokens = 0;
     std::string dataCentre; ///< of this node
     std::uint64_t salt = 0; ///< orders equal candidates; differs from request to request
+    int urgency = 0; ///< 0 is the most urgent
+    utils::duration target = std::chrono::seconds(1); ///< in which the answer should begin
+    response_times times = response_times(); ///< of the service
 };
 
 /// An engine from which another can copy parts of a prompt in place of reading them.
@@ -53,15 +57,16 @@
     utils::server_id server;
     load_total load; ///< of all nodes there, before this request
     std::uint32_t heldTokens = 0; ///< of the prompt, thought to be held there
-    double cost = 0; ///< of the chosen one, in prompt tokens to be read
+    double cost = 0; ///< of the chosen one: seconds of an engine, running requests of a plain service
 };
 
 /// Chooses a backend server for a request by the work that the request would wait for there.
 ///
 /// Load: prompts with long shared parts over a dozen engines, with hot parts and bursts. By load alone each
 /// engine reads each shared part; by affinity alone the engine of a hot part falls behind. So a
-/// server's cost is counted in prompt tokens: those waiting there, those of this prompt that it does not
-/// hold, and an equivalent for each request that runs there. Not thread safe.
+/// server's cost is counted in seconds: for the prompt tokens that wait there, for those of this prompt that
+/// it does not hold, for a slot, and for what each request that runs there takes of the engine's steps. Not
+/// thread safe.
 class server_choice {
 public:
     /// A server above this multiple of the mean load, plus `boundExtra`, is passed over: a little below where
@@ -73,9 +78,9 @@
     /// every target, while a part that is read twice takes the time of all that run there, and memory. At 1
     /// a third of the shared tokens read are read again, at 3 a fifth, at 8 a sixth.
     static constexpr double readingCost = 8;
-    /// What a running request costs a new one, in prompt tokens: it makes each step of the engine about 3%
-    /// longer, over the some hundred steps of an answer as much as reading so many tokens.
-    static constexpr double tokensPerRequest = 60;
+    /// What all requests of a full engine cost a new one, as a part of the time that it will take: each makes
+    /// every step a little longer.
+    static constexpr double fullEngineShare = 0.03;
     /// Part of the shared tokens that the first engine of their ranking is thought to hold where none is
     /// known to: nodes rank alike, so one that knows nothing finds what others have sent. Where a holder is
     /// known the ranking says nothing: engines that came later are first of some rankings and hold nothing.
@@ -86,12 +91,12 @@
     /// For a plain service: what a recent failure costs, in running requests. A running request costs little
     /// while there are slots, a failed one all that it is worth; at full slots the queue is worse.
     static constexpr double failureCost = 1.5;
-    /// For an engine, in prompt tokens, up to `mostDistrust`: one failure in two seconds is one request in
-    /// some 15, and losing that costs what reading 2,000 tokens does. At ten a hot part is read elsewhere.
-    static constexpr double tokensPerFailure = 2000;
-    static constexpr double mostDistrust = 20000;
-    /// Distrust of an engine of which hardly anything is known since it was left out, in prompt tokens.
-    static constexpr double unprovenTokens = 20000;
+    /// What a recent failure of an engine costs, as a part of the target, up to `mostDistrust`.
+    static constexpr double distrustPerFailure = 0.03;
+    static constexpr double mostDistrust = 0.3;
+    /// Distrust of an engine of which hardly anything is known since it was left out, as a part of the
+    /// target.
+    static constexpr double unprovenDistrust = 0.3;
     /// Engines above this multiple of the mean load, plus `crowdedExtra`, are not preferred for the distrust
     /// of others. All nodes prefer the same few then, and each knows the loads of the others a quarter of a
     /// second late: preferred up to the bound, one in eight requests came above twice the mean and three.
@@ -133,7 +138,7 @@
         const server_candidate* candidate = nullptr;
         load_total load;
         std::uint32_t heldTokens = 0; ///< of the prompt, as far as this node knows
-        double distrust = 0; ///< in prompt tokens
+        double distrust = 0; ///< as a part of the target
         bool isInBound = false;
     };
     std::vector<engine_view> viewEngines(const std::vector<server_candidate>& candidates,
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -20,6 +20,7 @@
     utils::server_id server; ///< the last one tried
     std::string serverDataCentre;
     decisions::placement placement; ///< of the last attempt
+    std::optional<overload_refusal> refused; ///< for overload, before anything was sent
     utils::server_id copiedFrom; ///< the engine from which the last one was told to copy; empty: none
     stop_reason stopped = stop_reason::None;
     std::uint64_t events = 0;
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -139,7 +139,7 @@
     boost::asio::awaitable<void> beatLoop()
     {
         while (!m_isDone) {
-            m_timer.expires_after(beatPeriod);
+            m_timer.expires_after(nextBeat());
             co_await m_timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
             noteLateness(std::chrono::duration_cast<utils::duration>(
                 std::chrono::steady_clock::now() - m_timer.expiry()));
@@ -147,6 +147,18 @@
         }
     }
 
+    /// Under load sooner: what one node sends between two beats the others don't know of, and all fill the
+    /// same backend server.
+    utils::duration nextBeat()
+    {
+        const std::uint64_t sent
+            = m_context.sentRequests - std::exchange(m_sentBefore, m_context.sentRequests);
+        const utils::duration wanted
+            = sent == 0 ? beatPeriod : m_beat * sentBetweenBeats / static_cast<std::int64_t>(sent);
+        m_beat = std::clamp(wanted, shortestBeat, beatPeriod);
+        return m_beat;
+    }
+
     /// The beat is due at a set time, so its lateness is that of all timers of this thread: the limits of
     /// requests that were read. Callers that still wait in the listener's queue do not show in it.
     void noteLateness(utils::duration late)
@@ -256,6 +268,8 @@
 
     // Four a second: loads of peers are as old as one long step of an engine, at 1% of the processor time.
     static constexpr utils::duration beatPeriod = std::chrono::milliseconds(250);
+    static constexpr utils::duration shortestBeat = std::chrono::milliseconds(60);
+    static constexpr std::int64_t sentBetweenBeats = 8;
     // A tenth of a second in which a process on a quota stands still is usual; callers' targets begin at
     // three.
     static constexpr utils::duration tellsLate = std::chrono::milliseconds(150);
@@ -265,6 +279,8 @@
     std::uint64_t m_bootId;
     std::uint64_t m_sequence = 0;
     utils::duration m_late {}; ///< of the last beat
+    utils::duration m_beat = beatPeriod; ///< time from the last beat to the next
+    std::uint64_t m_sentBefore = 0; ///< requests sent to backend servers at the last beat
     peer_table m_peers;
     view_keeper<Codec, Store> m_keeper;
     std::shared_ptr<peer_link> m_link;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -61,6 +61,18 @@
     return allowance;
 }
 
+decisions::response_times& node_context::timesOf(const std::string& service)
+{
+    const auto found = responseTimes.find(service);
+    if (found != responseTimes.end())
+        return found->second;
+    const catalogue::service* entry = configuration ? configuration->findService(service) : nullptr;
+    const bool isEngine = entry != nullptr && entry->engine;
+    return responseTimes[service]
+        = decisions::response_times(isEngine ? decisions::response_times::firstOccupancyOfStreams
+                                             : decisions::response_times::firstOccupancy);
+}
+
 utils::duration node_context::othersReading(
     const std::string& service, const utils::server_id& server, utils::time_point present) const
 {
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -7,6 +7,7 @@
 #include "catalogue/configuration.h"
 #include "catalogue/serverdirectory.h"
 
+#include "decisions/loadshedding.h"
 #include "decisions/poisonregister.h"
 #include "decisions/recentfailures.h"
 #include "decisions/repeatallowance.h"
@@ -47,11 +48,13 @@
     decisions::recent_failures failures;
     decisions::server_silence silence;
     std::map<std::string, decisions::response_times> responseTimes; ///< by service
+    std::map<std::string, decisions::load_shedder> shedders; ///< by service
     decisions::poison_register poison;
     std::map<std::string, decisions::repeat_allowance> repeats; ///< by service
     connection_pool pool;
     node_metrics metrics;
     std::uint64_t requestsInProgress = 0;
+    std::uint64_t sentRequests = 0; ///< to backend servers, since the start
     std::map<std::uint64_t, running_request> running; ///< by a number of this node
     std::uint64_t nextNumber = 1;
     unsigned nodesSeen = 1; ///< the most nodes known at once, this one with them
@@ -60,6 +63,8 @@
 
     /// The repeats that may be sent to a service.
     decisions::repeat_allowance& repeatsOf(const std::string& service);
+    /// What is learned of a service's answers.
+    decisions::response_times& timesOf(const std::string& service);
     /// How long a backend server may say nothing for the prompts that other nodes have sent there.
     utils::duration othersReading(
         const std::string& service, const utils::server_id& server, utils::time_point present) const;
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -47,6 +47,10 @@
                 break;
             m_result.placement = *placement;
             m_result.server = placement->server;
+            if (m_record.attempts() == 0)
+                m_result.refused = refuseOverload(m_context, m_request, m_plan, *placement, now());
+            if (m_result.refused)
+                break;
             m_tried.insert(placement->server);
             const utils::time_point startedAt = now();
             m_result.last = co_await tryServer(placement->server);
@@ -164,7 +168,7 @@
         call.workspace = m_plan.workspace;
         call.patience = std::max(utils::duration::zero(), m_plan.callerGivesUpAt - now());
         call.lastEventId = m_relay.lastEventId();
-        call.priority = m_plan.priority;
+        call.priority = m_plan.urgency;
         call.isPrompt = m_plan.isEngine;
         m_result.copiedFrom = {};
         if (source.server != nullptr) {
@@ -200,8 +204,12 @@
             kind = m_record.hasProvablyNotRun() ? utils::error_kind::DeadlineUnreachable
                                                 : utils::error_kind::ServerTimeout;
         }
+        if (m_result.refused)
+            kind = m_result.refused->refusal.kind;
         utils::failure failure = utils::makeFailure(kind);
-        if (utils::answerFor(kind).comeBack)
+        if (m_result.refused)
+            failure.retryAfter = m_result.refused->refusal.retryAfter;
+        else if (utils::answerFor(kind).comeBack)
             failure.retryAfter = comeBackAfter(kind, m_number);
         m_result.failure = failure;
         co_await m_writer.failure(failure);
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -58,6 +58,14 @@
         return;
     }
     fields.push_back({ "kind", std::string(utils::answerFor(result.failure->kind).name) });
+    if (result.refused) {
+        fields.push_back({ "urgency", std::to_string(result.refused->asked.urgency) });
+        fields.push_back({ "slot_wait_ms", millisecondsText(result.refused->asked.slotWait) });
+        fields.push_back({ "expected_ms", millisecondsText(result.refused->asked.expectedAnswer) });
+        fields.push_back({ "limit_ms", millisecondsText(result.refused->limit) });
+    }
+    if (result.failure->retryAfter)
+        fields.push_back({ "retry_after_ms", millisecondsText(*result.failure->retryAfter) });
     if (!result.failure->detail.empty())
         fields.push_back({ "detail", result.failure->detail });
     utils::logEvent(utils::event::RequestRefused, fields);
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -93,13 +93,13 @@
     plan.route = plan.configuration->findRoute(request.host, request.target);
     if (plan.route == nullptr)
         return utils::fail(absentKind(context, error_kind::UnknownRoute, now), "no route");
-    plan.priority = plan.route->priority;
+    plan.urgency = plan.configuration->urgencyOf(*plan.route, nullptr);
     if (plan.configuration->needsKeys && !plan.route->isPublic) {
         const catalogue::workspace* workspace = plan.configuration->findWorkspace(request.key);
         if (workspace == nullptr)
             return utils::fail(absentKind(context, error_kind::UnknownTeam, now), "no workspace has the key");
         plan.workspace = workspace->name;
-        plan.priority = workspace->priority.value_or(plan.priority);
+        plan.urgency = plan.configuration->urgencyOf(*plan.route, workspace);
     }
     if (!context.window.mayTake(plan.route->timeout, request.arrivedAt))
         return utils::fail(error_kind::ShuttingDown, "this node is leaving");
@@ -122,7 +122,7 @@
     return plan;
 }
 
-std::optional<decisions::placement> chooseServer(const node_context& context, const request_plan& plan,
+std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
     const std::set<utils::server_id>& tried, std::uint64_t salt, utils::time_point now)
 {
     std::vector<decisions::server_candidate> candidates;
@@ -137,11 +137,35 @@
         = [&](const auto& candidate) { return !context.isSilent(plan.service, candidate.id, now); };
     if (std::ranges::any_of(candidates, isHeard))
         std::erase_if(candidates, [&](const auto& candidate) { return !isHeard(candidate); });
-    const decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre,
-        salt };
+    const decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre, salt,
+        plan.urgency, plan.route->targetLatency, context.timesOf(plan.service) };
     return context.choice.choose(candidates, query, context.loads, now);
 }
 
+std::optional<overload_refusal> refuseOverload(node_context& context, const client_request& request,
+    const request_plan& plan, const decisions::placement& chosen, utils::time_point now)
+{
+    const catalogue::backend_server* server = context.servers.find(chosen.server);
+    if (server == nullptr)
+        return std::nullopt;
+    decisions::load_shedder& shedder = context.shedders[plan.service];
+    const decisions::response_times& times = context.timesOf(plan.service);
+    shedder.seen(plan.urgency, plan.route->targetLatency);
+    decisions::shed_query query;
+    query.slotWait = times.slotWait(chosen.load.requests, server->slots, queueUrgency(plan));
+    query.queueing = query.slotWait + times.forecast(chosen.load.promptTokens).expected();
+    const std::uint32_t unread = plan.promptTokens - std::min(plan.promptTokens, chosen.heldTokens);
+    query.expectedAnswer = query.slotWait + times.forecast(chosen.load.promptTokens + unread).expected();
+    query.target = plan.route->targetLatency;
+    query.timeLeft = plan.giveUpAt - now;
+    query.urgency = plan.urgency;
+    query.hash = utils::hash64(request.requestId);
+    const auto refusal = shedder.decide(query, now);
+    if (!refusal)
+        return std::nullopt;
+    return overload_refusal { *refusal, query, shedder.limitFor(query.urgency, query.target) };
+}
+
 copy_source copySource(const node_context& context, const request_plan& plan,
     const catalogue::backend_server& chosen, utils::time_point now)
 {
@@ -158,6 +182,11 @@
     return server == nullptr ? copy_source() : copy_source { server, source->tokens };
 }
 
+int queueUrgency(const request_plan& plan)
+{
+    return plan.isEngine ? plan.urgency : catalogue::configuration::urgencies - 1;
+}
+
 bool hasElsewhere(const request_plan& plan)
 {
     return plan.route->mayRepeat() && plan.route->maxAttempts > 1;
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -20,7 +20,7 @@
     std::uint64_t cacheTokens = 0; ///< of an engine
     bool copiesPrompts = false; ///< engines copy parts from each other faster than they read them
     std::string workspace; ///< empty for a public route
-    int priority = 0;
+    int urgency = 0; ///< 0 is the most urgent, see configuration::urgencyOf
     decisions::body_digest digest; ///< of what would crash a server again
     std::vector<decisions::shared_part> parts; ///< of the prompt
     std::uint32_t promptTokens = 0;
@@ -34,9 +34,21 @@
     node_context& context, const client_request& request, utils::time_point now);
 
 /// Chooses a backend server for the plan among those not tried yet; nothing when there is none.
-std::optional<decisions::placement> chooseServer(const node_context& context, const request_plan& plan,
+std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
     const std::set<utils::server_id>& tried, std::uint64_t salt, utils::time_point now);
 
+/// A refusal for overload, with what decided it.
+struct overload_refusal {
+    decisions::refusal refusal;
+    decisions::shed_query asked;
+    utils::duration limit {}; ///< of the time in queues
+};
+
+/// The refusal of a request that has not been sent and would wait too long at the chosen server; nothing when
+/// it should be sent.
+std::optional<overload_refusal> refuseOverload(node_context& context, const client_request& request,
+    const request_plan& plan, const decisions::placement& chosen, utils::time_point now);
+
 /// An engine from which another should copy.
 struct copy_source {
     const catalogue::backend_server* server = nullptr; ///< null when there is none
@@ -51,6 +63,8 @@
 /// How long an attempt may stay silent before it is tried elsewhere, though its server is heard.
 utils::duration silenceBeforeAnswer(const request_plan& plan);
 utils::duration silenceBetweenEvents(const request_plan& plan);
+/// The urgency by which a server lets the request pass others: plain services know none.
+int queueUrgency(const request_plan& plan);
 /// Whether there is an elsewhere for a request that was sent and has perhaps run.
 bool hasElsewhere(const request_plan& plan);
 
--- a/src/libs/gateway/serveruse.cpp
+++ b/src/libs/gateway/serveruse.cpp
@@ -13,14 +13,18 @@
 void server_use::begin(const catalogue::backend_server& server, std::uint32_t unreadTokens,
     const decisions::placement& placement, utils::time_point now)
 {
+    ++m_context.sentRequests;
     m_server = server.id;
     m_sentAt = now;
     m_heardAt = now;
     m_isPromptPending = true;
+    m_firstEventAt = {};
     m_serverSilence = decisions::server_silence::limitFor(m_plan.route->targetLatency, m_plan.isEngine);
-    const decisions::response_times& times = m_context.responseTimes[m_plan.service];
+    const decisions::response_times& times = m_context.timesOf(m_plan.service);
     m_tokensAhead = placement.load.promptTokens + unreadTokens;
-    m_latestAnswer = times.forecast(m_tokensAhead).latest();
+    const utils::duration slotWait
+        = times.slotWait(placement.load.requests, server.slots, queueUrgency(m_plan));
+    m_latestAnswer = times.forecast(m_tokensAhead).latest() + 2 * slotWait;
     m_hasSlot = placement.load.requests < server.slots;
     m_heldTokens = placement.heldTokens;
     m_unreadTokens = unreadTokens;
@@ -50,7 +54,8 @@
 void server_use::firstEvent(utils::time_point now)
 {
     if (m_isPromptPending && m_hasSlot)
-        m_context.responseTimes[m_plan.service].began(m_tokensAhead, now - m_sentAt);
+        m_context.timesOf(m_plan.service).began(m_tokensAhead, now - m_sentAt);
+    m_firstEventAt = now;
     promptRead();
     m_context.health.succeeded(m_plan.service, m_server, now - m_sentAt, now);
 }
@@ -77,6 +82,22 @@
     const bool isShort = m_plan.route->kind != catalogue::request_kind::Stream;
     if (isShort && status < firstFailure)
         m_context.health.succeeded(m_plan.service, m_server, now - m_sentAt, now);
+    learnOccupancy(isShort, now);
+}
+
+void server_use::learnOccupancy(bool isShort, utils::time_point now)
+{
+    decisions::response_times& times = m_context.timesOf(m_plan.service);
+    if (!isShort) {
+        if (m_firstEventAt == utils::time_point())
+            return;
+        times.ended(queueUrgency(m_plan), now - m_firstEventAt + times.forecast(m_unreadTokens).reading);
+        return;
+    }
+    if (!m_hasSlot)
+        return;
+    times.began(0, now - m_sentAt);
+    times.ended(queueUrgency(m_plan), now - m_sentAt);
 }
 
 utils::duration server_use::silentFor(utils::time_point now) const
--- a/src/libs/gateway/serveruse.h
+++ b/src/libs/gateway/serveruse.h
@@ -42,12 +42,16 @@
     utils::duration silentFor(utils::time_point now) const;
 
 private:
+    /// A whole answer tells how long requests of its kind occupy a slot.
+    void learnOccupancy(bool isShort, utils::time_point now);
+
     node_context& m_context;
     const request_plan& m_plan;
     std::uint64_t m_number;
     utils::server_id m_server;
     utils::time_point m_sentAt {};
     utils::time_point m_heardAt {};
+    utils::time_point m_firstEventAt {};
     utils::duration m_serverSilence {};
     std::uint32_t m_unreadTokens = 0; ///< of the prompt, as thought when it was sent
     std::uint32_t m_tokensAhead = 0; ///< read by the server before the answer, those of this prompt included
--- a/tests/auto/platform/tst_decoders.cpp
+++ b/tests/auto/platform/tst_decoders.cpp
@@ -71,6 +71,31 @@
     BOOST_TEST(configuration->needsKeys);
 }
 
+// Guards against urgent and less urgent work of a workspace looking the same where the workspace has a
+// priority of its own: engines and refusals then treat all of it alike.
+BOOST_AUTO_TEST_CASE(the_route_tells_urgencies_within_a_workspace_apart)
+{
+    catalogue::configuration configuration;
+    for (const int priority : { 0, 1, 2 }) {
+        catalogue::route route;
+        route.priority = priority;
+        configuration.routes.push_back(route);
+    }
+    configuration.workspaces = { { "first", 0 }, { "second", 1 }, { "plain", {} } };
+    configuration.buildIndex();
+    const auto urgency = [&](std::size_t route, std::size_t workspace) {
+        return configuration.urgencyOf(configuration.routes[route], &configuration.workspaces[workspace]);
+    };
+    BOOST_TEST(urgency(0, 0) < urgency(1, 0));
+    BOOST_TEST(urgency(1, 0) < urgency(2, 0));
+    BOOST_TEST(urgency(2, 0) < urgency(0, 1));
+    BOOST_TEST(urgency(0, 1) < urgency(2, 1));
+    BOOST_TEST(urgency(0, 2) < urgency(1, 2));
+    BOOST_TEST(urgency(0, 2) == urgency(0, 0));
+    BOOST_TEST(urgency(2, 2) < catalogue::configuration::urgencies);
+    BOOST_TEST(configuration.urgencyOf(configuration.routes[1], nullptr) == urgency(1, 2));
+}
+
 // A kind that is not known yet must not be repeated by mistake.
 BOOST_AUTO_TEST_CASE(an_unknown_kind_runs_at_most_once)
 {
