Copy between engines where that is well faster than the reading learned

Cause: copies were decided by constants of the engines first seen (5 ms for 1,000 tokens), and comments of server_choice told how values had been chosen.

--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -70,13 +70,11 @@
 class server_choice {
 public:
     /// A server above this multiple of the mean load, plus `boundExtra`, is passed over: a little below where
-    /// the users count it as overloaded (twice the mean, and three), since loads of peers are some ms old.
-    /// With two instead of 2.8 beyond it, a holder with five requests was left at a mean of 1.5.
+    /// it counts as overloaded (twice the mean, and three), since loads of peers are some ms old.
     static constexpr double boundFactor = 1.8;
     static constexpr double boundExtra = 2.8;
-    /// What a token to be read costs against one that waits to be read there: a wait of some ten ms is within
-    /// every target, while a part that is read twice takes the time of all that run there, and memory. At 1
-    /// a third of the shared tokens read are read again, at 3 a fifth, at 8 a sixth.
+    /// What a token to be read costs against one that waits to be read there: a short wait is within every
+    /// target, while a part that is read twice takes the time of all that run there, and memory.
     static constexpr double readingCost = 8;
     /// What all requests of a full engine cost a new one, as a part of the time that it will take: each makes
     /// every step a little longer.
@@ -98,8 +96,8 @@
     /// target.
     static constexpr double unprovenDistrust = 0.3;
     /// Engines above this multiple of the mean load, plus `crowdedExtra`, are not preferred for the distrust
-    /// of others. All nodes prefer the same few then, and each knows the loads of the others a quarter of a
-    /// second late: preferred up to the bound, one in eight requests came above twice the mean and three.
+    /// of others: all nodes prefer the same few then, and each knows the loads of the others a quarter of a
+    /// second late.
     static constexpr double crowdedFactor = 1.2;
     static constexpr double crowdedExtra = 1;
 
@@ -121,7 +119,7 @@
     /// What other nodes should learn, once; bounded.
     std::vector<placement_note> takeNotes();
 
-    /// Fewer tokens are read in the time that it takes to begin a copy: some 5 ms, at 50 to 100 tokens a ms.
+    /// Fewer tokens are read in about the time that it takes to begin a copy.
     static constexpr std::uint32_t leastCopiedTokens = 500;
     /// Notes kept for the next beat: as many requests with shared parts as a busy node sends between two.
     static constexpr std::size_t maxNotes = 24;
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -61,6 +61,7 @@
     if (result.refused) {
         fields.push_back({ "urgency", std::to_string(result.refused->asked.urgency) });
         fields.push_back({ "slot_wait_ms", millisecondsText(result.refused->asked.slotWait) });
+        fields.push_back({ "queue_ms", millisecondsText(result.refused->asked.queueing) });
         fields.push_back({ "expected_ms", millisecondsText(result.refused->asked.expectedAnswer) });
         fields.push_back({ "limit_ms", millisecondsText(result.refused->limit) });
     }
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -25,9 +25,8 @@
 constexpr utils::duration absentPause = std::chrono::milliseconds(300);
 // Another node has what this one lacks, or this one within some ten ms of its start.
 constexpr utils::duration elsewherePause = std::chrono::milliseconds(60);
-// Engines read so many tokens in 10 to 20 ms: a copy that takes half of that saves little.
-constexpr std::uint32_t copiedTokens = 1000;
-constexpr utils::duration slowestCopy = std::chrono::milliseconds(5);
+// A copy that takes longer than this part of the reading saves little.
+constexpr double slowestCopyShare = 0.5;
 // Those who come back are spread over as long again, so that they don't come together.
 constexpr double spread = 1.0;
 
@@ -37,6 +36,14 @@
     return isCurrent ? kind : error_kind::NodeNotCurrent;
 }
 
+/// Whether engines copy tokens from each other well faster than they read them.
+bool copiesPay(
+    const catalogue::engine_traits& engine, std::uint32_t tokens, const decisions::response_times& times)
+{
+    const auto copyTime = engine.copyTime(tokens);
+    return copyTime && utils::toSeconds(*copyTime) < slowestCopyShare * tokens * times.secondsPerToken();
+}
+
 /// The service among the route's shares, the same for all requests of one prompt or caller's id.
 const std::string& pickService(const catalogue::route& route, std::uint64_t salt)
 {
@@ -111,9 +118,8 @@
     if (service != nullptr && service->engine) {
         plan.isEngine = true;
         plan.cacheTokens = service->engine->cacheTokens;
-        const auto copyTime = service->engine->copyTime(copiedTokens);
-        plan.copiesPrompts = copyTime && *copyTime < slowestCopy;
         plan.promptTokens = request.promptTokens;
+        plan.copiesPrompts = copiesPay(*service->engine, plan.promptTokens, context.timesOf(plan.service));
         plan.parts = request.prompt;
     }
     const utils::duration patience = request.patience.value_or(plan.route->timeout);
--- a/src/libs/gateway/serveruse.h
+++ b/src/libs/gateway/serveruse.h
@@ -18,8 +18,7 @@
     }
 
     /// The request is about to be sent there. `unreadTokens` of its prompt the server is thought to lack;
-    /// `placement` says what was known of it when it
-    /// was chosen.
+    /// `placement` says what was known when it was chosen.
     void begin(const catalogue::backend_server& server, std::uint32_t unreadTokens,
         const decisions::placement& placement, utils::time_point now);
     /// Something of the answer came.
