Soak: start a caller's thread with the caller, not with its place in a growing vector

The fault is the first instruction of soak_caller::askOnce with a pointer that is none: threads looked their caller up in the vector while the main thread still added callers to it, so one read freed storage. Change: each thread gets its caller. Conclusion: traced and mended; no check was changed.

--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -84,7 +84,8 @@
     for (std::size_t i = 0; i < m_size.callers; ++i) {
         callers.push_back(
             std::make_unique<soak_caller>("caller-" + std::to_string(i), m_seed * 1000 + i, addresses));
-        threads.emplace_back([&, i] { callers[i]->run(isStopped); });
+        // Not by its place in the vector, which moves while it grows.
+        threads.emplace_back([caller = callers.back().get(), &isStopped] { caller->run(isStopped); });
     }
     const time_point startedAt = now();
     auto next = m_plan.begin();
