Keep the number of urgencies and the place in their tables in one file

Cause: load_shedder and response_times each had the number ten and the clamp of an urgency, four times in all; requestplan relied on the configuration having the same number. Change: decisions/urgency.h; a static_assert ties the configuration's number to it. Ruled out: a change of behaviour (same values, same clamps). Conclusion: one copy.

--- a/src/libs/decisions/loadshedding.cpp
+++ b/src/libs/decisions/loadshedding.cpp
@@ -7,14 +7,9 @@
 
 namespace decisions {
 
-std::size_t load_shedder::indexOf(int urgency)
-{
-    return static_cast<std::size_t>(std::clamp(urgency, 0, static_cast<int>(urgencies) - 1));
-}
-
 void load_shedder::seen(int urgency, utils::duration target)
 {
-    utils::duration& shortest = m_targets[indexOf(urgency)];
+    utils::duration& shortest = m_targets[urgencyIndex(urgency)];
     if (shortest == utils::duration::zero() || target < shortest)
         shortest = target;
 }
@@ -25,7 +20,7 @@
         return utils::fromSeconds(utils::toSeconds(value) * factor);
     };
     std::optional<utils::duration> limit;
-    for (std::size_t i = 0; i < indexOf(urgency); ++i) {
+    for (std::size_t i = 0; i < urgencyIndex(urgency); ++i) {
         if (m_targets[i] == utils::duration::zero())
             continue;
         limit = limit ? std::min(m_targets[i], times(*limit, stepDown))
--- a/src/libs/decisions/loadshedding.h
+++ b/src/libs/decisions/loadshedding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "refusal.h"
+#include "urgency.h"
 
 #include "utils/time.h"
 
@@ -53,9 +54,6 @@
     utils::duration limitFor(int urgency, utils::duration target) const;
 
 private:
-    static constexpr std::size_t urgencies = 10;
-
-    static std::size_t indexOf(int urgency);
     bool mustRefuse(const shed_query& query) const;
     /// How long it takes to serve what was refused of late at the rate at which requests are served.
     utils::duration backlogTime() const;
--- a/src/libs/decisions/responsetimes.cpp
+++ b/src/libs/decisions/responsetimes.cpp
@@ -42,12 +42,12 @@
     m_occupancy += occupancyGain * (seconds - m_occupancy);
     for (double& work : m_work)
         work *= workKept;
-    m_work[static_cast<std::size_t>(std::clamp(urgency, 0, static_cast<int>(urgencies) - 1))] += seconds;
+    m_work[urgencyIndex(urgency)] += seconds;
 }
 
 utils::duration response_times::slotWait(unsigned requests, unsigned slots, int urgency) const
 {
-    const auto own = m_work.begin() + std::clamp(urgency, 0, static_cast<int>(urgencies) - 1);
+    const auto own = m_work.begin() + urgencyIndex(urgency);
     const double moreUrgent = std::accumulate(m_work.begin(), own, 0.0);
     const unsigned usable = moreUrgent > 0 ? slots - slots / reservedPart : slots;
     if (requests < usable || slots == 0)
--- a/src/libs/decisions/responsetimes.h
+++ b/src/libs/decisions/responsetimes.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "urgency.h"
+
 #include "utils/time.h"
 
 #include <array>
@@ -64,7 +66,6 @@
     double m_tokenSeconds = firstWeight * firstWeight / firstTokensPerSecond;
     double m_base = utils::toSeconds(firstBase);
     double m_deviation = utils::toSeconds(firstBase);
-    static constexpr std::size_t urgencies = 10;
     double m_occupancy;
     std::array<double, urgencies> m_work {}; ///< slot time taken of late, by urgency
 };
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -190,7 +190,8 @@
 
 int queueUrgency(const request_plan& plan)
 {
-    return plan.isEngine ? plan.urgency : catalogue::configuration::urgencies - 1;
+    static_assert(catalogue::configuration::urgencies <= decisions::urgencies);
+    return plan.isEngine ? plan.urgency : decisions::urgencies - 1;
 }
 
 bool hasElsewhere(const request_plan& plan)
