Tell how old the view of the backend servers is when a request is sent

A request reached an engine that had left, and neither log nor metrics could tell whether the node had a wrong view, knew that its view was old, or had sent the request long before. Now each request and each failed attempt tells the age of the view at the attempt and for how long changes were known to be missing (view_age_ms, view_behind_ms); a histogram holds the ages, a gauge the lag; each copy of the view that a peer was asked for, or has asked for, has a line with peer, end, bytes and time (view_copy_taken, view_copy_sent). Nothing is decided by these figures yet.

--- /dev/null
+++ b/src/libs/decisions/viewlag.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "utils/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace decisions {
+
+/// How old a node's view of the backend servers is.
+///
+/// Load: servers leave one after the other while a node's link is full or its connection to the store is
+/// silent. Datagrams of peers still tell it that there are changes which it does not have. Revisions of the
+/// store order everything. Not thread safe.
+class view_lag {
+public:
+    /// This node has taken all changes up to that revision.
+    void advance(std::uint64_t revision);
+    /// A source whose word counts has all changes up to that revision.
+    void hear(std::uint64_t revision, utils::time_point now);
+
+    /// Since this node was told of the first change that it still lacks; zero when it lacks none that it was
+    /// told of.
+    utils::duration behindFor(utils::time_point now) const;
+    /// Since a source last told that nothing was missing, or since the first missing change was told of;
+    /// zero before any source was heard.
+    utils::duration age(utils::time_point now) const;
+
+    /// Revisions that are remembered with the time at which they were told. Beyond it the last one stands for
+    /// all newer ones, with its own, earlier time.
+    static constexpr std::size_t mostRemembered = 64;
+
+private:
+    struct told_revision {
+        std::uint64_t revision = 0;
+        utils::time_point at {};
+    };
+
+    std::uint64_t m_taken = 0;
+    std::deque<told_revision> m_missing; ///< by revision and by time
+    utils::time_point m_completeAt {}; ///< when a source last told of nothing that is missing
+};
+
+} // namespace decisions
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -89,6 +89,7 @@
         node_gauges gauges;
         gauges.configurationVersion = m_context.configuration ? m_context.configuration->version : 0;
         gauges.configurationEvidenceSeconds = utils::toSeconds(present - m_context.evidenceAt);
+        gauges.serverViewBehindSeconds = utils::toSeconds(m_context.viewLag.behindFor(present));
         gauges.serversKnown = static_cast<double>(m_context.servers.size());
         gauges.serversUsable = static_cast<double>(m_context.servers.usableCount());
         gauges.peers = static_cast<double>(m_peers.live(present).size());
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -17,6 +17,7 @@
 #include "decisions/serverload.h"
 #include "decisions/serversilence.h"
 #include "decisions/servicewindow.h"
+#include "decisions/viewlag.h"
 
 #include "utils/errorkind.h"
 
@@ -42,6 +43,7 @@
     node_options options;
     catalogue::configuration_ptr configuration; ///< in force; null before the first
     catalogue::server_directory servers;
+    decisions::view_lag viewLag; ///< of the directory of backend servers
     decisions::server_loads loads;
     decisions::server_choice choice;
     decisions::server_health health;
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -61,10 +61,14 @@
         = histograms("lycheefront_request_seconds", "Time from a request's first byte to its end");
     histogram_family& firstEvents = histograms(
         "lycheefront_first_event_seconds", "Time from a request's first byte to its first event");
+    histogram_family& viewAge = histograms("lycheefront_server_view_age_seconds",
+        "Age of the view of the backend servers right before a request was sent");
     prometheus::Gauge& version
         = gauge("lycheefront_configuration_version", "Version of the configuration in force");
     prometheus::Gauge& evidence = gauge("lycheefront_configuration_evidence_seconds",
         "Time since the configuration in force was known to be the newest");
+    prometheus::Gauge& behind = gauge("lycheefront_server_view_behind_seconds",
+        "Time since changes of backend servers were known to be missing");
     prometheus::Gauge& usable = gauge("lycheefront_servers_usable", "Backend servers that take requests");
     prometheus::Gauge& known = gauge("lycheefront_servers_known", "Backend servers with an entry");
     prometheus::Gauge& peers = gauge("lycheefront_peers", "Other nodes heard lately");
@@ -122,10 +126,16 @@
     d->fetches.Add({ { "end", isDone ? "done" : "failed" } }).Increment();
 }
 
+void node_metrics::countViewAge(utils::duration age)
+{
+    d->viewAge.Add({}, secondsBuckets).Observe(utils::toSeconds(age));
+}
+
 std::string node_metrics::text(const node_gauges& gauges)
 {
     d->version.Set(static_cast<double>(gauges.configurationVersion));
     d->evidence.Set(gauges.configurationEvidenceSeconds);
+    d->behind.Set(gauges.serverViewBehindSeconds);
     d->usable.Set(gauges.serversUsable);
     d->known.Set(gauges.serversKnown);
     d->peers.Set(gauges.peers);
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -18,6 +18,7 @@
 struct node_gauges {
     std::uint64_t configurationVersion = 0;
     double configurationEvidenceSeconds = 0; ///< since it was last known to be the newest
+    double serverViewBehindSeconds = 0; ///< since changes of backend servers were known to be missing
     double serversUsable = 0;
     double serversKnown = 0;
     double peers = 0;
@@ -49,6 +50,8 @@
     void countStoreCall(store_status status);
     void countBeat(bool isSent);
     void countViewFetch(bool isDone);
+    /// The age of the view of the backend servers right before a request was sent to one.
+    void countViewAge(utils::duration age);
     /// Text for the collector.
     std::string text(const node_gauges& gauges);
 
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -1,5 +1,9 @@
 #include "peerlink.h"
 
+#include "clock.h"
+
+#include "utils/eventlog.h"
+
 #include "wire/acceptloop.h"
 #include "wire/connect.h"
 
@@ -89,6 +93,8 @@
 {
     const auto self = shared_from_this();
     const auto shared = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+    boost::system::error_code unknown; // a connection that is gone has no address; its read fails
+    const std::string peer = wire::toText(shared->remote_endpoint(unknown));
     asio::steady_timer timer(m_executor, fetchTime);
     timer.async_wait([shared](const boost::system::error_code& error) {
         boost::system::error_code ignored; // the peer asks another node
@@ -104,8 +110,13 @@
     std::array<unsigned char, 4> size {};
     boost::endian::store_big_u32(size.data(), static_cast<std::uint32_t>(view.size()));
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(size), asio::buffer(view) };
-    co_await asio::async_write(*shared, buffers, asTuple);
+    const utils::time_point startedAt = now();
+    const auto [writeError, written] = co_await asio::async_write(*shared, buffers, asTuple);
     timer.cancel();
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now() - startedAt);
+    utils::logEvent(utils::event::ViewCopySent,
+        { { "peer", peer }, { "end", writeError ? "cut" : "done" }, { "bytes", std::to_string(written) },
+            { "ms", std::to_string(took.count()) } });
 }
 
 asio::awaitable<std::optional<view_copy>> peer_link::fetchView(std::string address, view_request request)
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -79,6 +79,8 @@
         if (m_record.isSent(m_result.last))
             attempt.silentFor = m_use.silentFor(now());
         attempt.repeatsLeft = m_context.repeatsOf(m_plan.service).left(now());
+        attempt.viewAge = m_result.viewAge;
+        attempt.viewBehind = m_result.viewBehind;
         return attempt;
     }
 
@@ -91,6 +93,9 @@
             m_context.pool.put(server, connection, now());
             co_return attempt_end::NotSent;
         }
+        m_result.viewAge = m_context.viewLag.age(now());
+        m_result.viewBehind = m_context.viewLag.behindFor(now());
+        m_context.metrics.countViewAge(m_result.viewAge);
         // While this request waited for its connection the server may have begun to drain.
         const catalogue::backend_server* entry = m_context.servers.find(server);
         if (entry == nullptr || !m_context.servers.isUsable(server)) {
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -40,6 +40,8 @@
         fields.push_back({ "load_age_ms", millisecondsText(result.placement.load.age) });
         fields.push_back({ "waiting_tokens", std::to_string(result.placement.load.promptTokens) });
         fields.push_back({ "held_tokens", std::to_string(result.placement.heldTokens) });
+        fields.push_back({ "view_age_ms", millisecondsText(result.viewAge) });
+        fields.push_back({ "view_behind_ms", millisecondsText(result.viewBehind) });
         if (!result.copiedFrom.isEmpty())
             fields.push_back({ "copied_from", result.copiedFrom.str() });
     }
@@ -78,7 +80,9 @@
         { { "request", request.requestId }, { "server", attempt.server.str() },
             { "end", std::string(toString(attempt.end)) }, { "ms", millisecondsText(attempt.took) },
             { "silent_ms", millisecondsText(attempt.silentFor) },
-            { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) } });
+            { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) },
+            { "view_age_ms", millisecondsText(attempt.viewAge) },
+            { "view_behind_ms", millisecondsText(attempt.viewBehind) } });
 }
 
 void logRejected(const utils::failure& failure)
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -17,6 +17,8 @@
     utils::duration took {};
     utils::duration silentFor {}; ///< since something of the answer came, or since it was sent
     double repeatsLeft = 0; ///< of the service, on this node
+    utils::duration viewAge {}; ///< of the view of the backend servers at the attempt
+    utils::duration viewBehind {}; ///< since changes were known to be missing then
 };
 
 /// Logs how a request ended and what decided it.
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/storeview.h
@@ -75,6 +75,7 @@
     {
         if (asOf < m_serversAsOf)
             return;
+        m_context.viewLag.advance(asOf);
         // Read anew, entries may have left of which no entry tells: all others must look.
         if (m_serversAsOf > 0)
             m_serversRevision = std::max(m_serversRevision, asOf);
@@ -129,7 +130,11 @@
     }
 
     /// All changes up to this revision were taken.
-    void serversComplete(std::uint64_t asOf) { m_serversAsOf = std::max(m_serversAsOf, asOf); }
+    void serversComplete(std::uint64_t asOf)
+    {
+        m_serversAsOf = std::max(m_serversAsOf, asOf);
+        m_context.viewLag.advance(m_serversAsOf);
+    }
 
     /// Takes what a peer knows.
     bool takeCopy(const view_copy& copy, utils::time_point now)
--- a/src/libs/gateway/viewkeeper.h
+++ b/src/libs/gateway/viewkeeper.h
@@ -49,10 +49,13 @@
         noteEvidence(beat, present);
         if (beat.isSettled)
             m_view.confirmRemovals(beat.serversRevision, present);
+        const bool countsServers = decisions::countsWord(beat.followsStore, m_peers.followersHeard(present));
+        if (countsServers)
+            m_context.viewLag.hear(beat.serversRevision, present);
         if (!m_view.isBehind(beat.configurationRevision, beat.serversRevision))
             return;
         const bool isConfigurationNew = beat.configurationRevision > m_view.configurationRevision();
-        if (!isConfigurationNew && !decisions::countsWord(beat.followsStore, m_peers.followersHeard(present)))
+        if (!isConfigurationNew && !countsServers)
             return;
         const utils::duration lead = leadOfStore(isConfigurationNew);
         const fetch_start start = m_fetches.tryBegin(beat.node, present, present + lead);
@@ -134,8 +137,10 @@
         };
         events.onCall = [this](store_status status, utils::time_point startedAt) {
             noteCall(status);
-            if (status == store_status::Done)
-                m_context.evidenceAt = std::max(m_context.evidenceAt, startedAt);
+            if (status != store_status::Done)
+                return;
+            m_context.evidenceAt = std::max(m_context.evidenceAt, startedAt);
+            m_context.viewLag.hear(m_view.serversAsOf(), now());
         };
         events.mayCall = [this] { return m_follows; };
         events.pauseAfterFailure
@@ -238,8 +243,10 @@
         std::string address = peer->address;
         const view_request request = m_view.request(takesWhole);
         const bool countsServers = decisions::countsWord(peer->followsStore, m_peers.followersHeard(now()));
+        const utils::time_point startedAt = now();
         auto view = co_await m_link->fetchView(std::move(address), request);
         m_context.metrics.countViewFetch(view.has_value());
+        logFetch(peerName, view, now() - startedAt);
         if (!view)
             co_return fetch_outcome::NoAnswer;
         if (!countsServers)
@@ -252,6 +259,19 @@
         co_return view->serversAsOf > 0 ? fetch_outcome::Told : fetch_outcome::NeedsWhole;
     }
 
+    static void logFetch(const std::string& peer, const std::optional<view_copy>& view, utils::duration took)
+    {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
+        std::vector<utils::log_field> fields { { "peer", peer }, { "end", view ? "done" : "no_answer" },
+            { "ms", std::to_string(milliseconds) } };
+        if (view) {
+            fields.push_back({ "configurations", std::to_string(view->configuration.size()) });
+            fields.push_back({ "servers", std::to_string(view->servers.size()) });
+            fields.push_back({ "as_of", std::to_string(view->serversAsOf) });
+        }
+        utils::logEvent(utils::event::ViewCopyTaken, fields);
+    }
+
     boost::asio::awaitable<void> pause(utils::duration length)
     {
         boost::asio::steady_timer timer(m_context.executor, length);
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -33,6 +33,10 @@
         "An entry names no backend server to use" },
     event_info {
         event::ServerChanged, Info, "server_changed", "What is known of a backend server has changed" },
+    event_info { event::ViewCopyTaken, Info, "view_copy_taken",
+        "A peer was asked for a copy of what it knows of the store" },
+    event_info { event::ViewCopySent, Info, "view_copy_sent",
+        "A peer has asked for a copy of what this node knows of the store" },
     event_info { event::RequestDone, Info, "request_done", "A request has its whole answer" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info {
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -33,6 +33,8 @@
     ConfigurationUnreadable = 3006,
     ServerEntryUnreadable = 3007,
     ServerChanged = 3008,
+    ViewCopyTaken = 3009,
+    ViewCopySent = 3010,
     RequestDone = 4001,
     RequestRefused = 4002,
     AttemptFailed = 4003,
--- /dev/null
+++ b/tests/auto/decisions/tst_viewlag.cpp
@@ -0,0 +1,67 @@
+#include "decisions/viewlag.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using decisions::view_lag;
+
+namespace {
+
+utils::time_point at(utils::duration since)
+{
+    return utils::time_point {} + 1h + since;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(lag_of_the_view)
+
+BOOST_AUTO_TEST_CASE(a_view_is_as_old_as_the_last_word_that_nothing_is_missing)
+{
+    view_lag lag;
+    BOOST_TEST((lag.age(at(5s)) == 0s));
+    lag.advance(10);
+    lag.hear(10, at(0s));
+    BOOST_TEST((lag.age(at(300ms)) == 300ms));
+    BOOST_TEST((lag.behindFor(at(300ms)) == 0s));
+    lag.hear(9, at(400ms));
+    BOOST_TEST((lag.age(at(500ms)) == 100ms));
+}
+
+// A change each half second, each told four times a second, and an answer that brings some of them: the lag
+// is that of the first one that is still missing, not of the first or the last that ever was.
+BOOST_AUTO_TEST_CASE(the_first_missing_change_counts)
+{
+    view_lag lag;
+    lag.advance(10);
+    for (int i = 0; i < 8; ++i) {
+        lag.hear(11 + static_cast<std::uint64_t>(i), at(i * 500ms));
+        lag.hear(11 + static_cast<std::uint64_t>(i), at(i * 500ms + 250ms));
+    }
+    BOOST_TEST((lag.behindFor(at(4s)) == 4s));
+    lag.advance(14);
+    BOOST_TEST((lag.behindFor(at(4s)) == 2s));
+    BOOST_TEST((lag.age(at(4s)) == 2s));
+    lag.hear(12, at(4s));
+    BOOST_TEST((lag.behindFor(at(4s)) == 2s));
+    lag.advance(18);
+    BOOST_TEST((lag.behindFor(at(4s)) == 0s));
+}
+
+// Nothing is taken for minutes while changes are told all the time: memory is bounded, and the lag is never
+// told too small.
+BOOST_AUTO_TEST_CASE(many_missing_changes_are_remembered_in_bounds)
+{
+    view_lag lag;
+    constexpr std::uint64_t changes = 10 * view_lag::mostRemembered;
+    for (std::uint64_t i = 1; i <= changes; ++i)
+        lag.hear(i, at(static_cast<int>(i) * 100ms));
+    BOOST_TEST((lag.behindFor(at(changes * 100ms)) == (changes - 1) * 100ms));
+    lag.advance(changes - 1);
+    BOOST_TEST((lag.behindFor(at(changes * 100ms)) >= 0s));
+    BOOST_TEST((lag.behindFor(at(changes * 100ms + 1s)) >= 1s));
+    lag.advance(changes);
+    BOOST_TEST((lag.behindFor(at(changes * 100ms + 1s)) == 0s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
