--- a/tests/auto/gateway/gatewayworld.h
+++ b/tests/auto/gateway/gatewayworld.h
@@ -52,6 +52,8 @@
     gateway_node& node(std::size_t index) { return *m_nodes.at(index); }
     std::size_t nodeCount() const { return m_nodes.size(); }
     const std::string& folder() const { return m_folder; }
+    /// Where nodes hear each other, the same on all addresses.
+    unsigned short peerPort() const { return m_peerPort; }
     platform_standin::standin_thread& thread() { return m_thread; }
 
     bool isReady(const gateway_node& node) const;
--- /dev/null
+++ b/tests/auto/gateway/tst_peerlink.cpp
@@ -0,0 +1,182 @@
+#include "gateway/peerlink.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <numeric>
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// 1,000,000 bytes: the largest value of the store, and 0.8 s over a link of 10 Mbit/s.
+constexpr std::size_t largeConfiguration = 1000000;
+
+gateway::view_copy largeCopy()
+{
+    gateway::view_copy copy;
+    copy.configuration.push_back({ { "config", std::string(largeConfiguration, 'x'), 7 } });
+    copy.isWhole = false;
+    copy.serversAsOf = 9;
+    return copy;
+}
+
+/// Carries connections to a holder's port over a link of 10 Mbit/s in the direction to the one who asks.
+class slow_link {
+public:
+    slow_link(asio::io_context& io, tcp::endpoint holder)
+        : m_io(io)
+        , m_holder(holder)
+        , m_acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+    tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+
+private:
+    using socket_ptr = std::shared_ptr<tcp::socket>;
+
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto [error, accepted] = co_await m_acceptor.async_accept(asTuple);
+            if (error)
+                co_return;
+            const auto near = std::make_shared<tcp::socket>(std::move(accepted));
+            const auto far = std::make_shared<tcp::socket>(m_io);
+            const auto [connectError] = co_await far->async_connect(m_holder, asTuple);
+            if (connectError)
+                continue;
+            asio::co_spawn(m_io, carry(near, far, 0ms), asio::detached);
+            asio::co_spawn(m_io, carry(far, near, timeOfPiece), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> carry(socket_ptr from, socket_ptr to, utils::duration pause)
+    {
+        std::string bytes(piece, '\0');
+        asio::steady_timer timer(m_io);
+        while (true) {
+            const auto [error, count] = co_await from->async_read_some(asio::buffer(bytes), asTuple);
+            if (error)
+                break;
+            timer.expires_after(pause);
+            co_await timer.async_wait(asTuple);
+            const auto [writeError, written]
+                = co_await asio::async_write(*to, asio::buffer(bytes, count), asTuple);
+            if (writeError)
+                break;
+        }
+        boost::system::error_code ignored; // the other side sees the end either way
+        to->shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    static constexpr std::size_t piece = 25000; // bytes
+    static constexpr utils::duration timeOfPiece = 20ms;
+
+    asio::io_context& m_io;
+    tcp::endpoint m_holder;
+    tcp::acceptor m_acceptor;
+};
+
+/// A node that holds a large copy, and one that asks.
+struct link_fixture {
+    asio::io_context io;
+    std::shared_ptr<gateway::peer_link> holder = makeLink();
+    std::shared_ptr<gateway::peer_link> asking = makeLink();
+    tcp::endpoint address;
+
+    link_fixture()
+    {
+        // The link listens on one port for TCP and UDP, which must be known: one that is free for both.
+        tcp::acceptor probe(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        address = probe.local_endpoint();
+        probe.close();
+        holder->listen(address);
+    }
+    ~link_fixture()
+    {
+        holder->close();
+        asking->close();
+    }
+
+    std::shared_ptr<gateway::peer_link> makeLink()
+    {
+        gateway::peer_events events;
+        events.onBeat = [](const gateway::peer_beat&) {};
+        events.makeView = [](const gateway::view_request&) { return largeCopy(); };
+        return std::make_shared<gateway::peer_link>(io.get_executor(), std::move(events));
+    }
+
+    /// What comes of asking at that address.
+    std::optional<gateway::view_copy> fetch(const tcp::endpoint& endpoint)
+    {
+        std::optional<gateway::view_copy> result;
+        bool isDone = false;
+        const std::string text = endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                result = co_await asking->fetchView(text, {});
+                isDone = true;
+            },
+            asio::detached);
+        while (!isDone)
+            io.run_one();
+        return result;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(link_between_peers)
+
+BOOST_FIXTURE_TEST_CASE(a_copy_is_carried_whole, link_fixture)
+{
+    const auto copy = fetch(address);
+    BOOST_REQUIRE(copy.has_value());
+    BOOST_TEST(copy->serversAsOf == 9u);
+    BOOST_TEST(copy->configuration.front().item.value.size() == largeConfiguration);
+}
+
+// Guards against a fetch that is given up while its bytes arrive, and begun anew with the next peer: over a
+// slow link no large copy ever came whole, and the link was filled with parts of many.
+BOOST_FIXTURE_TEST_CASE(a_large_copy_comes_whole_over_a_slow_link, link_fixture)
+{
+    slow_link link(io, address);
+    const auto copy = fetch(link.address());
+    BOOST_REQUIRE(copy.has_value());
+    BOOST_TEST(copy->configuration.front().item.value.size() == largeConfiguration);
+}
+
+// Guards against a node that hands copies for all who ask to its link at once: all its requests, answers and
+// calls to the store wait behind them.
+BOOST_FIXTURE_TEST_CASE(copies_that_nobody_takes_do_not_fill_the_link, link_fixture)
+{
+    // A tenth of a second at 10 Mbit/s.
+    constexpr std::size_t tolerable = 125000;
+    std::vector<tcp::socket> peers;
+    const std::string request = gateway::encodeRequest({});
+    for (int i = 0; i < 8; ++i) {
+        peers.emplace_back(io);
+        peers.back().connect(address);
+        asio::write(peers.back(), asio::buffer(request));
+    }
+    io.run_for(200ms);
+    const std::size_t arrived = std::accumulate(peers.begin(), peers.end(), std::size_t(0),
+        [](std::size_t sum, const tcp::socket& peer) { return sum + peer.available(); });
+    BOOST_TEST(arrived > 0u);
+    BOOST_TEST(arrived <= tolerable);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
