Give up an answer of the store when it stops arriving, not when it takes long

What callers saw: requests sent to engines that had left, by nodes that did not get the store's news. A node on a link of 10 Mbit/s needs 0.65 s for a configuration of 810 KB; a call for all items was given up after 0.5 s in all, so it could never succeed there, and was begun anew with the same bytes. Cause: the limit of a call counted its whole time, whatever arrived. Evidence: tst_httpcaller failed before (an answer in pieces over twice the limit came to nothing) and passes now; one that stops arriving is still given up. Ruled out: a longer limit, which would keep a node waiting for a store that is silent.

--- a/src/libs/gateway/httpcaller.cpp
+++ b/src/libs/gateway/httpcaller.cpp
@@ -1,5 +1,6 @@
 #include "httpcaller.h"
 
+#include "clock.h"
 #include "headerlines.h"
 
 #include "wire/connect.h"
@@ -10,11 +11,18 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// A lost packet is sent again after two hundred ms.
+constexpr utils::duration stallTime = std::chrono::milliseconds(500);
+
+} // namespace
+
 http_caller::http_caller(asio::any_io_executor executor, const asio::ip::tcp::endpoint& server)
     : m_executor(std::move(executor))
     , m_server(server)
     , m_host(wire::toText(server))
-    , m_timer(m_executor)
+    , m_timer(std::make_shared<asio::steady_timer>(m_executor))
 {
 }
 
@@ -25,7 +33,7 @@
 
 void http_caller::close()
 {
-    m_timer.cancel();
+    m_timer->cancel();
     if (m_connection)
         m_connection->close();
     m_connection.reset();
@@ -39,11 +47,7 @@
     if (isNew)
         m_connection = std::make_shared<http_connection>(m_executor);
     const http_connection_ptr connection = m_connection;
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([connection](const boost::system::error_code& error) {
-        if (!error)
-            connection->close();
-    });
+    limitSilence(m_timer, connection, timeout);
     if (isNew) {
         const boost::system::error_code error = co_await connection->connect(m_server);
         if (error) {
@@ -53,13 +57,34 @@
     }
     std::string head = headOf(request);
     auto body = std::make_shared<const std::string>(std::move(request.body));
+    m_isCalling = true;
     std::optional<call_answer> answer = co_await exchange(connection, std::move(head), std::move(body));
-    m_timer.cancel();
+    m_isCalling = false;
+    m_timer->cancel();
     if (!answer || !connection->isReusable())
         close();
     co_return answer;
 }
 
+bool http_caller::isReceiving(utils::time_point now) const
+{
+    return m_isCalling && m_connection && now - m_connection->heardAt < stallTime;
+}
+
+void http_caller::limitSilence(timer_ptr timer, http_connection_ptr connection, utils::duration limit)
+{
+    timer->expires_after(limit);
+    timer->async_wait([timer, connection](const boost::system::error_code& error) {
+        if (error)
+            return;
+        const utils::duration silent = now() - connection->heardAt;
+        if (silent < stallTime)
+            limitSilence(timer, connection, stallTime - silent);
+        else
+            connection->close();
+    });
+}
+
 std::string http_caller::headOf(const call_request& request) const
 {
     std::string head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
--- a/src/libs/gateway/httpcaller.h
+++ b/src/libs/gateway/httpcaller.h
@@ -37,13 +37,20 @@
     http_caller(const http_caller&) = delete;
     http_caller& operator=(const http_caller&) = delete;
 
-    /// Nothing when no whole answer came in time; the connection is closed then, since what comes later
-    /// would be taken for the answer to the next call.
+    /// Nothing when no answer began in time, or when one stopped arriving; the connection is closed then,
+    /// since what comes later would be taken for the answer to the next call.
     boost::asio::awaitable<std::optional<call_answer>> call(call_request request, utils::duration timeout);
+    /// Whether bytes of an answer are arriving.
+    bool isReceiving(utils::time_point now) const;
     void close();
 
 private:
+    using timer_ptr = std::shared_ptr<boost::asio::steady_timer>;
+
     std::string headOf(const call_request& request) const;
+    /// Closes the connection after `limit`, or later as soon as nothing arrives any more. A large answer over
+    /// a slow link takes longer than any time in which one should begin.
+    static void limitSilence(timer_ptr timer, http_connection_ptr connection, utils::duration limit);
     boost::asio::awaitable<std::optional<call_answer>> exchange(
         http_connection_ptr connection, std::string head, std::shared_ptr<const std::string> body);
 
@@ -51,7 +58,8 @@
     boost::asio::ip::tcp::endpoint m_server;
     std::string m_host;
     http_connection_ptr m_connection;
-    boost::asio::steady_timer m_timer;
+    timer_ptr m_timer;
+    bool m_isCalling = false;
 };
 
 } // namespace gateway
--- a/src/libs/gateway/httpconnection.cpp
+++ b/src/libs/gateway/httpconnection.cpp
@@ -1,5 +1,7 @@
 #include "httpconnection.h"
 
+#include "clock.h"
+
 #include "wire/socketpeek.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -160,6 +162,8 @@
     const auto [error, count]
         = co_await m_socket.async_read_some(asio::buffer(m_received.data() + before, readSize), asTuple);
     m_received.resize(before + count);
+    if (count > 0)
+        heardAt = now();
     if (error)
         m_isBroken = true;
     co_return error;
--- a/src/libs/gateway/httpconnection.h
+++ b/src/libs/gateway/httpconnection.h
@@ -51,6 +51,7 @@
     void close();
 
     utils::time_point idleSince {}; ///< for the pool
+    utils::time_point heardAt {}; ///< when bytes last came
     std::optional<utils::duration> idleLimit; ///< the other side closes after this
 
 private:
