Send nothing by a view of the backend servers that peers have outdated for long

What callers saw: requests ran at engines that had left 3.1 and 4.2 s before, at a node that had heard from 66 peers four times a second for 8 s that changes were missing. Cause: the directory of backend servers had no age; a choice could not tell a view of 20 ms from one of 20 s. Class: belief without a bound on its age (the configuration has one, the servers had none). Now: view_lag remembers when each missing change was first told of. It is asked before the choice and again right before bytes go out. When nobody who knows more was heard for 3 s, as when the store is away for all, the view is the best there is and is used whatever its age. Ruled out: a bound on the time since the last word of the store, which would stop the fleet in each outage; readiness, which takes two seconds to have an effect.

--- a/src/libs/decisions/viewlag.cpp
+++ b/src/libs/decisions/viewlag.cpp
@@ -18,6 +18,7 @@
             m_completeAt = now;
         return;
     }
+    m_toldAt = now;
     if (!m_missing.empty() && revision <= m_missing.back().revision)
         return;
     if (m_missing.size() == mostRemembered)
@@ -28,13 +29,15 @@
 
 utils::duration view_lag::behindFor(utils::time_point now) const
 {
-    return m_missing.empty() ? utils::duration::zero() : now - m_missing.front().at;
+    if (m_missing.empty() || now - m_toldAt > toldLifetime)
+        return utils::duration::zero();
+    return now - m_missing.front().at;
 }
 
 utils::duration view_lag::age(utils::time_point now) const
 {
     if (!m_missing.empty())
-        return behindFor(now);
+        return now - m_missing.front().at;
     return m_completeAt == utils::time_point() ? utils::duration::zero() : now - m_completeAt;
 }
 
--- a/src/libs/decisions/viewlag.h
+++ b/src/libs/decisions/viewlag.h
@@ -8,11 +8,13 @@
 
 namespace decisions {
 
-/// How old a node's view of the backend servers is.
+/// How old a node's view of the backend servers is, and whether requests may be sent by it.
 ///
 /// Load: servers leave one after the other while a node's link is full or its connection to the store is
-/// silent. Datagrams of peers still tell it that there are changes which it does not have. Revisions of the
-/// store order everything. Not thread safe.
+/// silent. Datagrams of peers still tell it that there are changes which it does not have. It would go on
+/// sending to servers that have left, where other nodes know better. While nobody tells of more, as when the
+/// store is away for all, the view is the best there is, whatever its age. Revisions of the store order
+/// everything. Not thread safe.
 class view_lag {
 public:
     /// This node has taken all changes up to that revision.
@@ -21,7 +23,7 @@
     void hear(std::uint64_t revision, utils::time_point now);
 
     /// Since this node was told of the first change that it still lacks; zero when it lacks none that it was
-    /// told of.
+    /// told of, or when nobody has told of one for `toldLifetime`.
     utils::duration behindFor(utils::time_point now) const;
     /// Since a source last told that nothing was missing, or since the first missing change was told of;
     /// zero before any source was heard.
@@ -31,6 +33,9 @@
     /// all newer ones, with its own, earlier time.
     static constexpr std::size_t mostRemembered = 64;
 
+    /// Nobody who knows more is in touch any more: beats come four times a second.
+    static constexpr utils::duration toldLifetime = std::chrono::seconds(3);
+
 private:
     struct told_revision {
         std::uint64_t revision = 0;
@@ -39,6 +44,7 @@
 
     std::uint64_t m_taken = 0;
     std::deque<told_revision> m_missing; ///< by revision and by time
+    utils::time_point m_toldAt {}; ///< when a source last told of something that is missing
     utils::time_point m_completeAt {}; ///< when a source last told of nothing that is missing
 };
 
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -22,6 +22,7 @@
     decisions::placement placement; ///< of the last attempt
     utils::duration viewAge {}; ///< of the view of the backend servers at the last attempt
     utils::duration viewBehind {}; ///< since changes were known to be missing then
+    bool isViewTooOld = false; ///< nothing more was sent for that
     std::optional<overload_refusal> refused; ///< for overload, before anything was sent
     utils::server_id copiedFrom; ///< the engine from which the last one was told to copy; empty: none
     stop_reason stopped = stop_reason::None;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -100,6 +100,12 @@
         choice.learned(note, service->engine->cacheTokens);
 }
 
+bool node_context::isViewTooOld(utils::time_point present) const
+{
+    // The other half is for the way of the news to this node, and of the request to the server.
+    return viewLag.behindFor(present) > options.drainTime / 2;
+}
+
 void node_context::updateHealth()
 {
     if (!configuration)
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -75,6 +75,9 @@
         const std::string& service, const utils::server_id& server, utils::time_point present) const;
     /// Another node has placed a prompt.
     void learnPlacement(const decisions::placement_note& note);
+    /// Whether the view of the backend servers is too old to send requests by: peers have known more for so
+    /// long that servers may have left in the meantime.
+    bool isViewTooOld(utils::time_point present) const;
     /// Health follows the directory.
     void updateHealth();
 };
--- a/src/libs/gateway/nodeoptions.h
+++ b/src/libs/gateway/nodeoptions.h
@@ -25,6 +25,8 @@
     utils::duration stopGrace = std::chrono::seconds(8); ///< from SIGTERM to the process's end at the latest
     decisions::repeat_limits repeats;
     utils::duration applyTime = std::chrono::seconds(2); ///< in which a configuration must be in force
+    /// After which nothing may be sent any more to a backend server that has said that it leaves.
+    utils::duration drainTime = std::chrono::seconds(2);
 };
 
 } // namespace gateway
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -41,6 +41,9 @@
     boost::asio::awaitable<flow_result> run()
     {
         while (m_scope->reason() == stop_reason::None) {
+            noteView();
+            if (m_result.isViewTooOld)
+                break;
             const auto placement
                 = chooseServer(m_context, m_plan, m_tried, m_number * 31 + m_record.attempts(), now());
             if (!placement)
@@ -72,6 +75,14 @@
 private:
     using error_code = boost::system::error_code;
 
+    void noteView()
+    {
+        const utils::time_point present = now();
+        m_result.viewAge = m_context.viewLag.age(present);
+        m_result.viewBehind = m_context.viewLag.behindFor(present);
+        m_result.isViewTooOld = m_context.isViewTooOld(present);
+    }
+
     failed_attempt describeFailure(utils::time_point startedAt)
     {
         failed_attempt attempt { m_result.server, m_result.last };
@@ -93,12 +104,10 @@
             m_context.pool.put(server, connection, now());
             co_return attempt_end::NotSent;
         }
-        m_result.viewAge = m_context.viewLag.age(now());
-        m_result.viewBehind = m_context.viewLag.behindFor(now());
-        m_context.metrics.countViewAge(m_result.viewAge);
         // While this request waited for its connection the server may have begun to drain.
+        noteView();
         const catalogue::backend_server* entry = m_context.servers.find(server);
-        if (entry == nullptr || !m_context.servers.isUsable(server)) {
+        if (entry == nullptr || !m_context.servers.isUsable(server) || m_result.isViewTooOld) {
             m_context.pool.put(server, connection, now());
             co_return attempt_end::NotSent;
         }
@@ -106,6 +115,7 @@
             m_context.pool.put(server, connection, now());
             co_return attempt_end::NoRepeat;
         }
+        m_context.metrics.countViewAge(m_result.viewAge);
         m_result.serverDataCentre = entry->dataCentre;
         const copy_source source = copySource(m_context, m_plan, *entry, now());
         std::string head = Wire::encodeRequest(m_request, callTo(*entry, source));
@@ -205,6 +215,8 @@
             }
         }
         utils::error_kind kind = m_record.finalKind();
+        if (m_result.isViewTooOld && m_record.hasProvablyNotRun())
+            kind = utils::error_kind::NodeNotCurrent;
         if (m_result.stopped == stop_reason::TimeUp) {
             kind = m_record.hasProvablyNotRun() ? utils::error_kind::DeadlineUnreachable
                                                 : utils::error_kind::ServerTimeout;
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -33,6 +33,10 @@
     fields.push_back({ "ms", millisecondsText(now - request.arrivedAt) });
     fields.push_back({ "attempts", std::to_string(result.attempts) });
     fields.push_back({ "last", std::string(toString(result.last)) });
+    if (plan.route != nullptr) {
+        fields.push_back({ "view_age_ms", millisecondsText(result.viewAge) });
+        fields.push_back({ "view_behind_ms", millisecondsText(result.viewBehind) });
+    }
     if (!result.server.isEmpty()) {
         fields.push_back({ "server", result.server.str() });
         fields.push_back({ "server_data_centre", result.serverDataCentre });
@@ -40,8 +44,6 @@
         fields.push_back({ "load_age_ms", millisecondsText(result.placement.load.age) });
         fields.push_back({ "waiting_tokens", std::to_string(result.placement.load.promptTokens) });
         fields.push_back({ "held_tokens", std::to_string(result.placement.heldTokens) });
-        fields.push_back({ "view_age_ms", millisecondsText(result.viewAge) });
-        fields.push_back({ "view_behind_ms", millisecondsText(result.viewBehind) });
         if (!result.copiedFrom.isEmpty())
             fields.push_back({ "copied_from", result.copiedFrom.str() });
     }
--- a/tests/auto/decisions/tst_viewlag.cpp
+++ b/tests/auto/decisions/tst_viewlag.cpp
@@ -48,6 +48,22 @@
     BOOST_TEST((lag.behindFor(at(4s)) == 0s));
 }
 
+// Guards against a fleet that serves nothing for an outage of the store: who told of more has gone, and
+// nobody in touch knows better.
+BOOST_AUTO_TEST_CASE(what_nobody_tells_any_more_does_not_count)
+{
+    view_lag lag;
+    lag.advance(10);
+    lag.hear(11, at(0s));
+    lag.hear(11, at(2s));
+    BOOST_TEST((lag.behindFor(at(5s)) == 5s));
+    BOOST_TEST((lag.behindFor(at(5001ms)) == 0s));
+    lag.hear(10, at(5100ms));
+    BOOST_TEST((lag.behindFor(at(5100ms)) == 0s));
+    lag.hear(11, at(6s));
+    BOOST_TEST((lag.behindFor(at(6s)) == 6s));
+}
+
 // Nothing is taken for minutes while changes are told all the time: memory is bounded, and the lag is never
 // told too small.
 BOOST_AUTO_TEST_CASE(many_missing_changes_are_remembered_in_bounds)
--- a/tests/auto/platform/tst_nodesettings.cpp
+++ b/tests/auto/platform/tst_nodesettings.cpp
@@ -23,6 +23,7 @@
 retryBudgetRatio = 0.3
 budgetExtra = 54
 configApplyMs = 2500
+drainMs = 3000
 [provider]
 address = "10.200.1.7:8223"
 )";
@@ -70,6 +71,7 @@
     BOOST_TEST(options.repeats.ratio == 0.3);
     BOOST_TEST((options.repeats.window == 10s));
     BOOST_TEST((options.applyTime == 2500ms));
+    BOOST_TEST((options.drainTime == 3s));
 }
 
 BOOST_AUTO_TEST_CASE(what_is_wrong_is_named_with_file_and_field_or_line)
