Reset connections of attempts that are given up, and look at the deadline before bytes go out

What callers saw: a request reached an engine 99 ms after its own caller's deadline, 4.9 s after it had entered; the engine had left 4.5 s before. Cause: its bytes lay in the sender's kernel behind a full link. The deadline closed the connection, and a closed connection goes on to deliver what was written. After a process stood still, the timer of the deadline may also fire only after the bytes have gone out. Class: work that was given up and goes on. The same holds for a payment whose caller was told that it has not run, and for a call to the store; all go through http_connection. Now: an attempt that is given up, for its caller, its time or its silence, is ended with a reset, which drops what the kernel has not sent; so is a call to the store without an answer. The deadline is compared with the present time before each attempt and before its bytes. A connection that is closed after a whole answer still delivers everything.

--- a/src/libs/gateway/httpcaller.cpp
+++ b/src/libs/gateway/httpcaller.cpp
@@ -81,7 +81,7 @@
         if (silent < stallTime)
             limitSilence(timer, connection, stallTime - silent);
         else
-            connection->close();
+            connection->abandon();
     });
 }
 
--- a/src/libs/gateway/httpconnection.cpp
+++ b/src/libs/gateway/httpconnection.cpp
@@ -155,6 +155,13 @@
     m_socket.close(ignored);
 }
 
+void http_connection::abandon()
+{
+    error_code ignored; // a socket that is gone has nothing left to send
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 asio::awaitable<http_connection::error_code> http_connection::receive()
 {
     const std::size_t before = m_received.size();
--- a/src/libs/gateway/httpconnection.h
+++ b/src/libs/gateway/httpconnection.h
@@ -20,7 +20,8 @@
 /// A connection on which this node asks and another process answers, one request at a time.
 ///
 /// Reads and writes go side by side: the other side may answer before it has read a long body, and both
-/// sides would wait for each other otherwise. close() ends everything that waits. Not thread safe.
+/// sides would wait for each other otherwise. close() and abandon() end everything that waits. Not thread
+/// safe.
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
     using head_type = boost::beast::http::response_header<>;
@@ -49,6 +50,9 @@
     /// Nothing has arrived since the last answer and the other side has not closed.
     bool isQuiet();
     void close();
+    /// Closes with a reset: what the kernel has not sent yet is dropped. Behind a full link or a cut a
+    /// request would else reach its server seconds after it was given up.
+    void abandon();
 
     utils::time_point idleSince {}; ///< for the pool
     utils::time_point heardAt {}; ///< when bytes last came
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -40,7 +40,7 @@
 
     boost::asio::awaitable<flow_result> run()
     {
-        while (m_scope->reason() == stop_reason::None) {
+        while (m_scope->reasonAt(now()) == stop_reason::None) {
             noteView();
             if (m_result.isViewTooOld)
                 break;
@@ -100,7 +100,7 @@
         const http_connection_ptr connection = co_await connectionTo(server);
         if (!connection)
             co_return attempt_end::NotSent;
-        if (m_scope->reason() != stop_reason::None) {
+        if (m_scope->reasonAt(now()) != stop_reason::None) {
             m_context.pool.put(server, connection, now());
             co_return attempt_end::NotSent;
         }
@@ -128,7 +128,7 @@
         if (end == attempt_end::Answered || end == attempt_end::NotRun || end == attempt_end::Failed)
             m_context.pool.put(server, connection, now());
         else
-            connection->close();
+            connection->abandon();
         co_return end;
     }
 
--- a/src/libs/gateway/stopscope.cpp
+++ b/src/libs/gateway/stopscope.cpp
@@ -6,6 +6,7 @@
 
 void stop_scope::limitUntil(utils::time_point at, utils::time_point now)
 {
+    m_limit = at;
     m_deadline.expires_after(at - now);
     m_deadline.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error && !self->m_isFinished)
@@ -19,11 +20,18 @@
         return;
     m_reason = reason;
     if (m_exchange)
-        m_exchange->close();
+        m_exchange->abandon();
     if (reason == stop_reason::TimeUp && m_onTimeUp)
         m_onTimeUp();
 }
 
+stop_reason stop_scope::reasonAt(utils::time_point now)
+{
+    if (now >= m_limit)
+        stop(stop_reason::TimeUp);
+    return m_reason;
+}
+
 void stop_scope::setExchange(http_connection_ptr connection)
 {
     ++m_turn;
@@ -32,7 +40,7 @@
     m_wasSilent = false;
     m_exchange = std::move(connection);
     if (m_exchange && m_reason != stop_reason::None)
-        m_exchange->close();
+        m_exchange->abandon();
 }
 
 void stop_scope::watchSilence(
@@ -48,7 +56,7 @@
     if (next <= now) {
         m_wasSilent = true;
         if (m_exchange)
-            m_exchange->close();
+            m_exchange->abandon();
         return;
     }
     m_silence.expires_after(next - now);
--- a/src/libs/gateway/stopscope.h
+++ b/src/libs/gateway/stopscope.h
@@ -33,13 +33,15 @@
     /// Gives up now; the first reason stays.
     void stop(stop_reason reason);
     stop_reason reason() const { return m_reason; }
+    /// The same at that time, whether or not the timer of the limit has fired.
+    stop_reason reasonAt(utils::time_point now);
 
-    /// The exchange that is closed when the request is given up.
+    /// The exchange that is abandoned when the request is given up.
     void setExchange(http_connection_ptr connection);
-    /// Asks now and again whether the exchange has fallen silent, and closes it then. `nextCheck` tells when
-    /// to ask again, or a time that is over when it has.
+    /// Asks now and again whether the exchange has fallen silent, and abandons it then. `nextCheck` tells
+    /// when to ask again, or a time that is over when it has.
     void watchSilence(std::function<utils::time_point(utils::time_point)> nextCheck, utils::time_point now);
-    /// Whether the exchange was closed for its silence.
+    /// Whether the exchange was abandoned for its silence.
     bool wasSilent() const { return m_wasSilent; }
     /// Stops all timers. To be called at the end.
     void finish();
@@ -47,6 +49,7 @@
 private:
     void armSilence(utils::time_point now, std::uint64_t turn);
 
+    utils::time_point m_limit = utils::time_point::max();
     boost::asio::steady_timer m_deadline;
     boost::asio::steady_timer m_silence;
     http_connection_ptr m_exchange;
--- /dev/null
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -0,0 +1,94 @@
+#include "gateway/httpconnection.h"
+#include "gateway/stopscope.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// A connection to a server that reads nothing until it is told to, over a socket with little room.
+struct full_connection {
+    static constexpr std::size_t bodySize = 65536; // bytes; fits into the kernel of the sender alone
+
+    asio::io_context io;
+    tcp::acceptor acceptor { io };
+    tcp::socket server { io };
+    gateway::http_connection_ptr connection = std::make_shared<gateway::http_connection>(io.get_executor());
+
+    full_connection()
+    {
+        acceptor.open(tcp::v4());
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        acceptor.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        acceptor.listen();
+        bool isConnected = false;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                isConnected = !co_await connection->connect(acceptor.local_endpoint());
+            },
+            asio::detached);
+        while (!isConnected)
+            io.run_one();
+        acceptor.accept(server);
+    }
+
+    void send()
+    {
+        connection->startWrite("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n",
+            std::make_shared<const std::string>(bodySize, 'x'), false);
+        io.restart();
+        io.poll();
+    }
+
+    /// Bytes that reach the server from now on.
+    std::size_t arriving()
+    {
+        std::string bytes;
+        boost::system::error_code error;
+        return asio::read(server, asio::dynamic_buffer(bytes), error);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(connection_to_a_server)
+
+BOOST_FIXTURE_TEST_CASE(a_connection_that_is_closed_delivers_what_was_sent, full_connection)
+{
+    send();
+    connection->close();
+    BOOST_TEST(arriving() > bodySize);
+}
+
+// Guards against a request that reaches a server long after its caller was told that it is given up: its
+// bytes lay in the kernel behind a full link.
+BOOST_FIXTURE_TEST_CASE(a_request_that_is_given_up_is_not_delivered_any_more, full_connection)
+{
+    auto scope = std::make_shared<gateway::stop_scope>(io.get_executor());
+    scope->setExchange(connection);
+    send();
+    scope->stop(gateway::stop_reason::TimeUp);
+    BOOST_TEST(arriving() < bodySize);
+}
+
+// Guards against bytes that go out after the deadline: after the process stood still, its timers and sockets
+// become ready in any order.
+BOOST_FIXTURE_TEST_CASE(a_deadline_holds_before_its_timer_has_fired, full_connection)
+{
+    const utils::time_point start = utils::time_point {} + 1h;
+    auto scope = std::make_shared<gateway::stop_scope>(io.get_executor());
+    scope->limitUntil(start + 2s, start);
+    BOOST_TEST((scope->reasonAt(start + 1999ms) == gateway::stop_reason::None));
+    BOOST_TEST((scope->reasonAt(start + 2s) == gateway::stop_reason::TimeUp));
+    scope->finish();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
