A handler queued before its timer was set anew does not end the next call or step

Found by reading: the limit of a call that ends right when its timer fires would close the connection that the next call uses.

--- a/src/libs/gateway/copystream.cpp
+++ b/src/libs/gateway/copystream.cpp
@@ -115,7 +115,8 @@
 {
     m_timer.expires_after(stepTime);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
-        if (!error)
+        // A handler that was queued before the timer was set anew belongs to the step before.
+        if (!error && self->m_timer.expiry() <= std::chrono::steady_clock::now())
             self->reset();
     });
 }
--- a/src/libs/gateway/httpcaller.cpp
+++ b/src/libs/gateway/httpcaller.cpp
@@ -71,11 +71,13 @@
     return m_isCalling && m_connection && now - m_connection->heardAt < stallTime;
 }
 
-void http_caller::limitSilence(timer_ptr timer, http_connection_ptr connection, utils::duration limit)
+void http_caller::limitSilence(
+    const timer_ptr& timer, const http_connection_ptr& connection, utils::duration limit)
 {
     timer->expires_after(limit);
     timer->async_wait([timer, connection](const boost::system::error_code& error) {
-        if (error)
+        // A handler that was queued before the timer was set anew belongs to the call before.
+        if (error || timer->expiry() > std::chrono::steady_clock::now())
             return;
         const utils::duration silent = now() - connection->heardAt;
         if (silent < stallTime)
--- a/src/libs/gateway/httpcaller.h
+++ b/src/libs/gateway/httpcaller.h
@@ -50,7 +50,8 @@
     std::string headOf(const call_request& request) const;
     /// Closes the connection after `limit`, or later as soon as nothing arrives any more. A large answer over
     /// a slow link takes longer than any time in which one should begin.
-    static void limitSilence(timer_ptr timer, http_connection_ptr connection, utils::duration limit);
+    static void limitSilence(
+        const timer_ptr& timer, const http_connection_ptr& connection, utils::duration limit);
     boost::asio::awaitable<std::optional<call_answer>> exchange(
         http_connection_ptr connection, std::string head, std::shared_ptr<const std::string> body);
 
--- a/tests/auto/gateway/tst_peerlink.cpp
+++ b/tests/auto/gateway/tst_peerlink.cpp
@@ -36,7 +36,7 @@
 public:
     slow_link(asio::io_context& io, tcp::endpoint holder)
         : m_io(io)
-        , m_holder(holder)
+        , m_holder(std::move(holder))
         , m_acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     {
         asio::co_spawn(io, accept(), asio::detached);
