--- a/src/libs/catalogue/backendserver.h
+++ b/src/libs/catalogue/backendserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "utils/ids.h"
+#include "utils/time.h"
 
 #include <cstdint>
 #include <string>
@@ -16,6 +17,7 @@
     unsigned slots = 1; ///< requests that it runs concurrently
     bool isDraining = false; ///< takes no new requests
     std::uint64_t startedAtMs = 0; ///< Unix milliseconds; distinguishes restarts under one id
+    utils::duration coldFor {}; ///< time from the write of the entry until it can take its full load
     std::uint64_t revision = 0; ///< of the entry in the store
 };
 
--- a/src/libs/catalogue/configuration.h
+++ b/src/libs/catalogue/configuration.h
@@ -44,6 +44,7 @@
     bool isPublic = false; ///< accepts requests without an API key
     bool hasPrompts = false; ///< its requests list the parts of their prompts
     bool isResumable = false; ///< a stream may continue on another backend server
+    std::vector<std::string> regions; ///< where its requests may run; empty: anywhere
 
     /// Whether a request may run more than once. Thread safe.
     bool mayRepeat() const
@@ -64,10 +65,17 @@
     std::optional<utils::duration> copyTime(std::uint32_t tokens) const;
 };
 
+/// How the backend servers of a service behave after their start.
+struct cold_start_traits {
+    utils::duration length {}; ///< time after the start in which the limit applies
+    double requestsPerSecond = 0; ///< that a cold server takes from all nodes together; more may crash it
+};
+
 /// A set of interchangeable backend servers.
 struct service {
     std::string name;
     std::optional<engine_traits> engine; ///< absent for a plain service
+    std::optional<cold_start_traits> coldStart; ///< absent if its servers take their full load at once
 };
 
 /// Limits on the size and duration of callers' requests.
@@ -82,6 +90,7 @@
 struct workspace {
     std::string name;
     std::optional<int> priority; ///< takes precedence over that of the route
+    std::vector<std::string> regions {}; ///< where its requests may run; empty: anywhere
 };
 
 /// One complete version of the configuration. Immutable once shared, so any thread may read it.
--- a/src/libs/catalogue/serverdirectory.cpp
+++ b/src/libs/catalogue/serverdirectory.cpp
@@ -17,6 +17,8 @@
         = state.server.startedAtMs != entry->startedAtMs || state.server.address != entry->address;
     if (isRestart)
         state.hasIdentityMismatch = false;
+    // The entry may be older than this node's news of it, so this errs on the side of too long.
+    state.coldUntil = now + entry->coldFor;
     state.server = std::move(*entry);
     state.expiresAt.reset();
 }
@@ -85,7 +87,31 @@
 bool server_directory::isUsable(const utils::server_id& id) const
 {
     const auto found = m_entries.find(id);
-    return found != m_entries.end() && !found->second.server.isDraining && !found->second.hasIdentityMismatch;
+    return found != m_entries.end() && isUsable(found->second);
+}
+
+bool server_directory::isUsable(const entry_state& state) const
+{
+    return !state.server.isDraining && !state.hasIdentityMismatch && !isEvacuated(state.server.dataCentre);
+}
+
+void server_directory::setEvacuated(const std::string& dataCentre, bool isEvacuated, utils::time_point now)
+{
+    if (isEvacuated)
+        m_evacuated.insert(dataCentre);
+    else if (m_evacuated.erase(dataCentre) > 0)
+        m_evacuationEndedAt[dataCentre] = now;
+}
+
+utils::time_point server_directory::coldUntil(const utils::server_id& id, utils::duration coldStart) const
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return {};
+    const auto evacuation = m_evacuationEndedAt.find(found->second.server.dataCentre);
+    if (evacuation == m_evacuationEndedAt.end())
+        return found->second.coldUntil;
+    return std::max(found->second.coldUntil, evacuation->second + coldStart);
 }
 
 const backend_server* server_directory::find(const utils::server_id& id) const
@@ -98,7 +124,7 @@
 {
     std::vector<const backend_server*> result;
     for (const auto& [id, state] : m_entries) {
-        if (state.server.service == service && !state.server.isDraining && !state.hasIdentityMismatch)
+        if (state.server.service == service && isUsable(state))
             result.push_back(&state.server);
     }
     return result;
@@ -126,9 +152,8 @@
 
 std::size_t server_directory::usableCount() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_entries, [](const auto& entry) {
-        return !entry.second.server.isDraining && !entry.second.hasIdentityMismatch;
-    }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_entries, [this](const auto& entry) { return isUsable(entry.second); }));
 }
 
 bool server_directory::isSettling(utils::time_point now) const
--- a/src/libs/catalogue/serverdirectory.h
+++ b/src/libs/catalogue/serverdirectory.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,10 @@
 /// Entries are leases in the store. During an outage of the store leases may lapse although their servers are
 /// alive. An entry that goes missing during the outage or within `settleTime` of its end therefore stays in
 /// use until that time is over; without this, every request fails for two seconds after each outage. At all
-/// other times a missing entry means that the server is gone. Not thread safe.
+/// other times a missing entry means that the server is gone.
+///
+/// Operators may evacuate a data centre: its servers get no new requests until the evacuation ends. They may
+/// be cold then, although their entries say so only later. Not thread safe.
 class server_directory {
 public:
     explicit server_directory(utils::duration settleTime)
@@ -42,6 +46,8 @@
     void extendSettling(utils::duration time, utils::time_point now);
     /// Takes a change in whether the store can be reached. The settle time starts when it is back.
     void setStoreReachable(bool isReachable, utils::time_point now);
+    /// Begins or ends the evacuation of a data centre.
+    void setEvacuated(const std::string& dataCentre, bool isEvacuated, utils::time_point now);
     /// Marks a server at whose address another one has answered that it is not this server. It gets no
     /// requests until its entry shows a restart or another address.
     void markIdentityMismatch(const utils::server_id& id);
@@ -50,11 +56,18 @@
 
     /// Whether the server may get new requests; check it right before sending.
     bool isUsable(const utils::server_id& id) const;
+    bool isEvacuated(const std::string& dataCentre) const { return m_evacuated.contains(dataCentre); }
+    /// Returns the data centres that are evacuated, ordered by name.
+    const std::set<std::string>& evacuated() const { return m_evacuated; }
+    /// Until when a server is cold, or has to be taken for cold because the evacuation of its data centre
+    /// ended less than `coldStart` ago. The epoch if the server is unknown or was never cold.
+    utils::time_point coldUntil(const utils::server_id& id, utils::duration coldStart) const;
     /// Returns the server; null if it is unknown.
     const backend_server* find(const utils::server_id& id) const;
     /// Returns the servers of a service that may get new requests, ordered by id.
     std::vector<const backend_server*> usable(const std::string& service) const;
-    /// Returns the servers of a service with a current entry, including draining ones, ordered by id.
+    /// Returns the servers of a service with a current entry, including draining and evacuated ones, ordered
+    /// by id.
     std::vector<const backend_server*> present(const std::string& service) const;
     /// Number of entries, including draining and lapsed ones.
     std::size_t size() const { return m_entries.size(); }
@@ -64,9 +77,13 @@
     std::size_t usableCount() const;
 
 private:
+    struct entry_state;
+    bool isUsable(const entry_state& state) const;
+
     struct entry_state {
         backend_server server;
         bool hasIdentityMismatch = false;
+        utils::time_point coldUntil {};
         std::optional<utils::time_point> expiresAt; ///< set once the entry is missing: when it is removed
     };
 
@@ -74,6 +91,8 @@
     std::map<utils::server_id, entry_state> m_entries;
     bool m_isStoreReachable = true;
     utils::time_point m_settledAt {};
+    std::set<std::string> m_evacuated;
+    std::map<std::string, utils::time_point> m_evacuationEndedAt; ///< by data centre
 };
 
 } // namespace catalogue
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -19,6 +19,7 @@
     unsigned attempts = 0;
     utils::server_id server; ///< of the last attempt
     std::string serverDataCentre;
+    bool isServerCold = false; ///< at the last attempt
     decisions::placement placement; ///< of the last attempt
     utils::duration viewAge {}; ///< age of the view of the backend servers at the last attempt
     utils::duration viewBehind {}; ///< time since changes were known to be missing then
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -101,6 +101,7 @@
         gauges.serverViewBehindSeconds = utils::toSeconds(m_context.viewLag.behindFor(present));
         gauges.serversKnown = static_cast<double>(m_context.servers.size());
         gauges.serversUsable = static_cast<double>(m_context.servers.usableCount());
+        gauges.evacuatedDataCentres = static_cast<double>(m_context.servers.evacuated().size());
         gauges.peers = static_cast<double>(m_peers.livePeers(present).size());
         gauges.fleetNodes = m_context.fleetSize.nodes();
         gauges.requestsInProgress = static_cast<double>(m_context.requestsInProgress);
@@ -195,11 +196,19 @@
         m_peers.expire(present);
         std::erase_if(m_sessions, [](const auto& weak) { return weak.expired(); });
         m_context.fleetSize.observe(static_cast<unsigned>(m_peers.knownNodes()), present);
+        updateColdStarts(present);
         m_viewUpdater.tick(present);
         sendHeartbeats();
         advanceStop(present);
     }
 
+    void updateColdStarts(utils::time_point present)
+    {
+        if (m_context.fleetSize.nodes() > 0)
+            m_context.coldStarts.setNodes(m_peers.ownAddress(), m_peers.knownAddresses());
+        m_context.coldStarts.expire(present);
+    }
+
     void advanceStop(utils::time_point present)
     {
         using decisions::stop_phase;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -2,6 +2,8 @@
 
 #include "clock.h"
 
+#include <algorithm>
+
 namespace gateway {
 
 namespace {
@@ -92,6 +94,15 @@
         && silence.isSilent(server, present, peerPrefillTime(service, server, present));
 }
 
+bool node_context::isCold(const utils::server_id& server,
+    const std::optional<catalogue::cold_start_traits>& traits, utils::time_point present) const
+{
+    if (!traits)
+        return false;
+    return present < servers.coldUntil(server, traits->length)
+        || coldStarts.isSuspect(server, traits->length, present);
+}
+
 void node_context::learnPlacement(const decisions::placement_update& note)
 {
     const catalogue::backend_server* server = servers.find(utils::server_id(note.server));
@@ -105,7 +116,7 @@
 bool node_context::isViewTooOld(utils::time_point present) const
 {
     // The other half covers the delay of the notification to this node and of the request to the server.
-    return viewLag.behindFor(present) > options.drainTime / 2;
+    return viewLag.behindFor(present) > std::min(options.drainTime, options.evacuationTime) / 2;
 }
 
 void node_context::updateHealth()
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -7,6 +7,7 @@
 #include "catalogue/configuration.h"
 #include "catalogue/serverdirectory.h"
 
+#include "decisions/coldstart.h"
 #include "decisions/fleetsize.h"
 #include "decisions/loadshedding.h"
 #include "decisions/loopdelay.h"
@@ -49,6 +50,7 @@
     decisions::server_loads loads;
     decisions::server_choice choice;
     decisions::server_health health;
+    decisions::cold_start_limiter coldStarts;
     decisions::recent_failures failures;
     decisions::silence_detector silence;
     std::map<std::string, decisions::response_times> responseTimes; ///< by service
@@ -76,6 +78,9 @@
     /// Whether a backend server seems to be down: it has requests in progress and sends nothing.
     bool isSilent(
         const std::string& service, const utils::server_id& server, utils::time_point present) const;
+    /// Whether a backend server is cold, or may be. Always false where `traits` is empty.
+    bool isCold(const utils::server_id& server, const std::optional<catalogue::cold_start_traits>& traits,
+        utils::time_point present) const;
     /// Records where another node has placed a prompt.
     void learnPlacement(const decisions::placement_update& note);
     /// Whether the view of the backend servers is too old to send requests: peers have had newer revisions
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -53,6 +53,8 @@
         = counters("lycheefront_attempts_total", "Attempts at backend servers, by service and end");
     counter_family& repeats
         = counters("lycheefront_repeats_total", "Attempts that were repeats at the service");
+    counter_family& coldRequests
+        = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
     counter_family& storeCalls
         = counters("lycheefront_store_calls_total", "Calls to the store, by kind and end");
     counter_family& heartbeats = counters("lycheefront_peer_beats_total", "Beats sent and received");
@@ -72,6 +74,8 @@
         "Time since changes of backend servers were known to be missing");
     prometheus::Gauge& usable = gauge("lycheefront_servers_usable", "Backend servers that take requests");
     prometheus::Gauge& known = gauge("lycheefront_servers_known", "Backend servers with an entry");
+    prometheus::Gauge& evacuated
+        = gauge("lycheefront_data_centres_evacuated", "Data centres whose backend servers get no requests");
     prometheus::Gauge& peers = gauge("lycheefront_peers", "Other nodes heard lately");
     prometheus::Gauge& fleetNodes = gauge(
         "lycheefront_fleet_nodes", "Nodes that share the fleet's bounds, this one included; 0 while unknown");
@@ -114,6 +118,11 @@
         d->repeats.Add({ { "service", str(service) } }).Increment();
 }
 
+void node_metrics::countColdRequest(std::string_view service)
+{
+    d->coldRequests.Add({ { "service", str(service) } }).Increment();
+}
+
 void node_metrics::countStoreCall(store_call call, store_status status)
 {
     d->storeCalls.Add({ { "call", str(toString(call)) }, { "end", str(toString(status)) } }).Increment();
@@ -141,6 +150,7 @@
     d->behind.Set(gauges.serverViewBehindSeconds);
     d->usable.Set(gauges.serversUsable);
     d->known.Set(gauges.serversKnown);
+    d->evacuated.Set(gauges.evacuatedDataCentres);
     d->peers.Set(gauges.peers);
     d->fleetNodes.Set(gauges.fleetNodes);
     d->inProgress.Set(gauges.requestsInProgress);
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -21,6 +21,7 @@
     double serverViewBehindSeconds = 0; ///< time since changes of backend servers were known to be missing
     double serversUsable = 0;
     double serversKnown = 0;
+    double evacuatedDataCentres = 0;
     double peers = 0;
     double fleetNodes = 0; ///< that share the fleet's bounds; 0: not known yet
     double requestsInProgress = 0;
@@ -49,6 +50,8 @@
     void countFirstEvent(std::string_view service, utils::duration took);
     /// Counts a finished attempt at a backend server.
     void countAttempt(std::string_view service, attempt_outcome end, bool isRetry);
+    /// Counts a request that is sent to a cold backend server.
+    void countColdRequest(std::string_view service);
     void countStoreCall(store_call call, store_status status);
     void countHeartbeat(bool isSent);
     void countViewFetch(std::string_view end);
--- a/src/libs/gateway/nodeoptions.h
+++ b/src/libs/gateway/nodeoptions.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
     utils::duration applyTime = std::chrono::seconds(2);
     /// Time after which no request may be sent to a backend server that has announced its leaving.
     utils::duration drainTime = std::chrono::seconds(2);
+    /// Time after which no request may be sent to a data centre whose evacuation was ordered.
+    utils::duration evacuationTime = std::chrono::seconds(5);
+    std::map<std::string, std::string> regions; ///< region by data centre
 };
 
 } // namespace gateway
--- a/src/libs/gateway/peertable.h
+++ b/src/libs/gateway/peertable.h
@@ -68,6 +68,8 @@
     std::size_t followersHeard(utils::time_point now) const;
     /// Number of nodes whose address is known, including this one. Not all of them need be alive.
     std::size_t knownNodes() const { return m_addresses.size() + 1; }
+    /// Addresses of all other nodes that are known, alive or not, ordered.
+    std::vector<std::string> knownAddresses() const { return addressesExcept({}); }
     /// Addresses of some live peers, to be sent in a heartbeat; those that were named least come first.
     std::vector<std::string> sampleAddresses(utils::time_point now);
     /// Names of the live peers, without this node.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -104,10 +104,11 @@
             m_context.pool.put(server, connection, now());
             co_return attempt_outcome::NotSent;
         }
-        // The server may have begun to drain while this request waited for its connection.
+        // While this request waited for its connection, the server may have begun to drain, its data centre
+        // may be evacuated, and another request may have taken this node's part of what a cold server takes.
         recordViewAge();
         const catalogue::backend_server* entry = m_context.servers.find(server);
-        if (entry == nullptr || !m_context.servers.isUsable(server) || m_result.isViewTooOld) {
+        if (entry == nullptr || !maySendTo(m_context, m_plan, *entry, now()) || m_result.isViewTooOld) {
             m_context.pool.put(server, connection, now());
             co_return attempt_outcome::NotSent;
         }
@@ -115,6 +116,11 @@
             m_context.pool.put(server, connection, now());
             co_return attempt_outcome::NoRepeat;
         }
+        m_result.isServerCold = m_context.isCold(server, m_plan.coldStart, now());
+        if (m_result.isServerCold) {
+            m_context.coldStarts.recordSent(server, now());
+            m_context.metrics.countColdRequest(m_plan.service);
+        }
         m_context.metrics.countViewAge(m_result.viewAge);
         m_result.serverDataCentre = entry->dataCentre;
         const copy_source source = copySource(m_context, m_plan, *entry, now());
@@ -155,11 +161,17 @@
             co_return connection;
         }
         if (m_scope->reason() == stop_reason::None)
-            m_context.health.unreachable(server, now());
+            recordUnreachable(server);
         m_scope->setConnection(nullptr);
         co_return nullptr;
     }
 
+    void recordUnreachable(const utils::server_id& server)
+    {
+        m_context.health.unreachable(server, now());
+        m_context.coldStarts.recordUnreachable(server, now());
+    }
+
     /// Counts the send, and takes it from the retry budget if it is a retry. False when the budget is used
     /// up.
     bool spendRetryBudget()
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -40,6 +40,8 @@
     if (!result.server.isEmpty()) {
         fields.push_back({ "server", result.server.str() });
         fields.push_back({ "server_data_centre", result.serverDataCentre });
+        if (result.isServerCold)
+            fields.push_back({ "server_cold", "yes" });
         fields.push_back({ "load", std::to_string(result.placement.load.requests) });
         fields.push_back({ "load_age_ms", millisecondsText(result.placement.load.age) });
         fields.push_back({ "waiting_tokens", std::to_string(result.placement.load.promptTokens) });
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -86,6 +86,20 @@
     }
 }
 
+/// Returns the regions that both lists allow; an empty list allows all.
+std::optional<std::set<std::string>> commonRegions(
+    const std::vector<std::string>& first, const std::vector<std::string>& second)
+{
+    if (first.empty() && second.empty())
+        return std::nullopt;
+    std::set<std::string> regions;
+    for (const std::string& region : first.empty() ? second : first) {
+        if (second.empty() || std::ranges::find(second, region) != second.end())
+            regions.insert(region);
+    }
+    return regions;
+}
+
 decisions::server_candidate candidateOf(
     const catalogue::backend_server& server, const request_plan& plan, double weight, double failures = 0)
 {
@@ -106,12 +120,14 @@
     if (plan.route == nullptr)
         return utils::fail(errorUnlessStale(context, error_kind::UnknownRoute, now), "no route");
     plan.urgency = plan.configuration->urgencyOf(*plan.route, nullptr);
+    plan.regions = commonRegions(plan.route->regions, {});
     if (plan.configuration->needsKeys && !plan.route->isPublic) {
         const catalogue::workspace* workspace = plan.configuration->findWorkspace(request.key);
         if (workspace == nullptr)
             return utils::fail(
                 errorUnlessStale(context, error_kind::UnknownTeam, now), "no workspace has the key");
         plan.workspace = workspace->name;
+        plan.regions = commonRegions(plan.route->regions, workspace->regions);
         plan.urgency = plan.configuration->urgencyOf(*plan.route, workspace);
     }
     if (!context.window.mayAccept(plan.route->timeout, request.arrivedAt))
@@ -121,6 +137,8 @@
         return utils::fail(error_kind::ServerFailed, "this request has crashed its backend servers");
     plan.service = pickService(*plan.route, utils::hash64(request.requestId));
     const catalogue::service* service = plan.configuration->findService(plan.service);
+    if (service != nullptr)
+        plan.coldStart = service->coldStart;
     if (service != nullptr && service->engine) {
         plan.isEngine = true;
         plan.cacheTokens = service->engine->cacheTokens;
@@ -135,15 +153,34 @@
     return plan;
 }
 
+bool isAllowedIn(const request_plan& plan, const node_options& options, const std::string& dataCentre)
+{
+    if (!plan.regions)
+        return true;
+    const auto region = options.regions.find(dataCentre);
+    return region != options.regions.end() && plan.regions->contains(region->second);
+}
+
+bool maySendTo(node_context& context, const request_plan& plan, const catalogue::backend_server& server,
+    utils::time_point now)
+{
+    return context.servers.isUsable(server.id) && isAllowedIn(plan, context.options, server.dataCentre)
+        && (!context.isCold(server.id, plan.coldStart, now)
+            || context.coldStarts.maySend(server.id, plan.coldStart->requestsPerSecond, now));
+}
+
 std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
     const std::set<utils::server_id>& tried, std::uint64_t salt, utils::time_point now)
 {
     std::vector<decisions::server_candidate> candidates;
     for (const catalogue::backend_server* server : context.servers.usable(plan.service)) {
-        if (tried.contains(server->id))
+        if (tried.contains(server->id) || !isAllowedIn(plan, context.options, server->dataCentre))
             continue;
-        candidates.push_back(candidateOf(*server, plan, context.health.weight(plan.service, server->id, now),
-            context.failures.countAt(server->id, now)));
+        // A weight of zero keeps the server in the mean load by which the others are bounded.
+        const double weight = maySendTo(context, plan, *server, now)
+            ? context.health.weight(plan.service, server->id, now)
+            : 0;
+        candidates.push_back(candidateOf(*server, plan, weight, context.failures.countAt(server->id, now)));
     }
     // If all servers look unresponsive, the fault is most likely on the side of this node.
     const auto isResponsive
@@ -188,7 +225,8 @@
     std::vector<decisions::server_candidate> holders;
     for (const catalogue::backend_server* server : context.servers.present(plan.service)) {
         // A copy from a server that is down would block until that server is back.
-        if (!context.isSilent(plan.service, server->id, now) && !context.health.isInBackoff(server->id, now))
+        if (!context.isSilent(plan.service, server->id, now) && !context.health.isInBackoff(server->id, now)
+            && isAllowedIn(plan, context.options, server->dataCentre))
             holders.push_back(candidateOf(*server, plan, 1));
     }
     const auto source = context.choice.sourceFor(candidateOf(chosen, plan, 1), holders, plan.parts);
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -19,7 +19,9 @@
     bool isEngine = false; ///< the service's backend servers are model engines
     std::uint64_t cacheTokens = 0; ///< KV cache size of an engine
     bool copiesPrompts = false; ///< copying KV cache between engines is faster than prefilling
+    std::optional<catalogue::cold_start_traits> coldStart; ///< of the service
     std::string workspace; ///< empty for a public route
+    std::optional<std::set<std::string>> regions; ///< where it may run; nothing: anywhere
     int urgency = 0; ///< 0 is the most urgent, see configuration::urgencyOf
     decisions::body_digest digest; ///< identifies the request among those that crashed a server
     std::vector<decisions::prompt_part> parts; ///< shared parts of the prompt
@@ -33,6 +35,15 @@
 utils::result<request_plan> planRequest(
     node_context& context, const client_request& request, utils::time_point now);
 
+/// Whether the request may run in, or take cached data from, a data centre: one in a region that the route
+/// and the workspace both allow. A data centre whose region is not known is in none. Thread safe.
+bool isAllowedIn(const request_plan& plan, const node_options& options, const std::string& dataCentre);
+
+/// Whether the request may be sent to this server now: the server is usable, in an allowed region and, if it
+/// is cold, this node may send to it. To be asked again right before bytes go out.
+bool maySendTo(node_context& context, const request_plan& plan, const catalogue::backend_server& server,
+    utils::time_point now);
+
 /// Chooses a backend server that is not in `tried`; nullopt when there is none. `salt` orders equal
 /// candidates.
 std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/storeview.h
@@ -10,11 +10,14 @@
 
 #include <concepts>
 #include <map>
+#include <set>
 #include <string>
 
 namespace gateway {
 
-/// Keys and encoding of the operators' configuration and of the backend servers' entries in the store.
+/// Keys and encoding of the operators' configuration, of the backend servers' entries and of the operators'
+/// evacuations in the store. The key of an evacuation ends with the name of its data centre; it lasts until
+/// the item is removed, whatever its value.
 template <class Codec>
 concept catalogue_codec = requires(std::string_view bytes, std::uint64_t revision)
 {
@@ -24,6 +27,9 @@
     {
         Codec::serverPrefix()
         } -> std::convertible_to<std::string_view>;
+    {
+        Codec::evacuationPrefix()
+        } -> std::convertible_to<std::string_view>;
     {
         Codec::decodeConfiguration(bytes)
         } -> std::same_as<utils::result<catalogue::configuration_ptr>>;
@@ -34,7 +40,8 @@
 
 /// This node's view of the store, received from the store itself or from peers, and applied to the context.
 /// The revisions of the store define the order: an older item never replaces a newer one, whatever its
-/// source. Not thread safe.
+/// source. Evacuations travel with the entries of backend servers: both say where no request may be sent.
+/// Not thread safe.
 template <catalogue_codec Codec> class store_view {
 public:
     /// Precondition: the context outlives this object.
@@ -69,8 +76,15 @@
             });
     }
 
-    /// Replaces all entries of backend servers by those at revision `asOf`. `isAuthoritative`: no entry is
-    /// missing because of a store outage.
+    /// Whether the item is an entry of a backend server or an evacuation.
+    static bool isServerItem(const store_item& item)
+    {
+        return item.key.starts_with(Codec::serverPrefix()) || isEvacuation(item.key);
+    }
+
+    /// Replaces all entries of backend servers and all evacuations by those at revision `asOf`.
+    /// `isAuthoritative`: no entry is missing because of a store outage.
+    /// Precondition: isServerItem() for all items.
     void applyServers(const std::vector<store_item>& items, std::uint64_t asOf, utils::time_point now,
         bool isAuthoritative = false)
     {
@@ -85,17 +99,22 @@
         m_servers.clear();
         m_removals.reset(asOf);
         std::vector<catalogue::backend_server> entries;
+        std::set<std::string> evacuated;
         for (const store_item& item : items) {
             m_serversRevision = std::max(m_serversRevision, item.revision);
             m_servers[item.key] = item;
-            if (auto entry = decode(item))
+            if (isEvacuation(item.key))
+                evacuated.insert(dataCentreOf(item.key));
+            else if (auto entry = decode(item))
                 entries.push_back(std::move(*entry));
         }
         m_context.servers.replaceAll(entries, now, isAuthoritative);
+        replaceEvacuations(evacuated, now);
         m_context.updateHealth();
     }
 
-    /// Applies a change of one entry. `isAuthoritative` as for applyServers().
+    /// Applies a change of one entry or evacuation. `isAuthoritative` as for applyServers().
+    /// Precondition: isServerItem().
     void applyServerChange(const store_change& change, utils::time_point now, bool isAuthoritative = false,
         std::string_view source = "store")
     {
@@ -103,17 +122,17 @@
         if (isKnown(change.item))
             return;
         m_serversRevision = std::max(m_serversRevision, change.item.revision);
-        const utils::server_id id = idOf(key);
         if (change.isRemoved) {
             m_servers.erase(key);
             m_removals.add(key, change.item.revision);
-            m_context.servers.remove(id, now, isAuthoritative);
         } else {
             m_servers[key] = change.item;
-            m_context.servers.put(id, decode(change.item), now);
         }
+        if (isEvacuation(key))
+            setEvacuated(dataCentreOf(key), !change.isRemoved, now, source);
+        else
+            changeServer(change, now, isAuthoritative, source);
         m_context.updateHealth();
-        logServer(id, source);
     }
 
     /// Removes entries that were kept as lapsed in an outage. To be called with the servers' revision of a
@@ -208,12 +227,51 @@
     bool isComplete() const { return m_context.configuration && m_serversAsOf > 0; }
 
 private:
+    static bool isEvacuation(std::string_view key) { return key.starts_with(Codec::evacuationPrefix()); }
+    static std::string dataCentreOf(const std::string& key)
+    {
+        return key.substr(std::string_view(Codec::evacuationPrefix()).size());
+    }
+
+    void changeServer(
+        const store_change& change, utils::time_point now, bool isAuthoritative, std::string_view source)
+    {
+        const utils::server_id id = idOf(change.item.key);
+        if (change.isRemoved)
+            m_context.servers.remove(id, now, isAuthoritative);
+        else
+            m_context.servers.put(id, decode(change.item), now);
+        logServer(id, source);
+    }
+
+    void replaceEvacuations(const std::set<std::string>& evacuated, utils::time_point now)
+    {
+        const std::set<std::string> before = m_context.servers.evacuated();
+        for (const std::string& dataCentre : before) {
+            if (!evacuated.contains(dataCentre))
+                setEvacuated(dataCentre, false, now, "full_read");
+        }
+        for (const std::string& dataCentre : evacuated) {
+            if (!before.contains(dataCentre))
+                setEvacuated(dataCentre, true, now, "full_read");
+        }
+    }
+
+    void setEvacuated(
+        const std::string& dataCentre, bool isEvacuated, utils::time_point now, std::string_view source)
+    {
+        m_context.servers.setEvacuated(dataCentre, isEvacuated, now);
+        utils::logEvent(utils::event::EvacuationChanged,
+            { { "data_centre", dataCentre }, { "state", isEvacuated ? "begun" : "ended" },
+                { "revision", std::to_string(m_serversRevision) }, { "source", std::string(source) } });
+    }
+
     void logServer(const utils::server_id& id, std::string_view source) const
     {
         const catalogue::backend_server* server = m_context.servers.find(id);
         std::string_view state = "gone";
         if (server != nullptr)
-            state = m_context.servers.isUsable(id) ? "ready" : "leaving";
+            state = server->isDraining ? "leaving" : "ready";
         utils::logEvent(utils::event::ServerChanged,
             { { "server", id.str() }, { "state", std::string(state) },
                 { "revision", std::to_string(m_serversRevision) }, { "source", std::string(source) } });
--- a/src/libs/gateway/viewupdater.h
+++ b/src/libs/gateway/viewupdater.h
@@ -157,13 +157,11 @@
         return events;
     }
 
-    static bool isServer(const store_item& item) { return item.key.starts_with(Codec::serverPrefix()); }
-
     void applyRange(const store_range& range)
     {
         std::vector<store_item> servers;
         for (const store_item& item : range.items) {
-            if (isServer(item))
+            if (store_view<Codec>::isServerItem(item))
                 servers.push_back(item);
             else
                 applyConfiguration(item);
@@ -174,7 +172,7 @@
 
     void applyChange(const store_change& change)
     {
-        if (isServer(change.item))
+        if (store_view<Codec>::isServerItem(change.item))
             m_view.applyServerChange(change, now());
         else if (!change.isRemoved)
             applyConfiguration(change.item);
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -39,6 +39,8 @@
         "This node requested a copy of a peer's view of the store" },
     event_info { event::ViewCopySent, Info, "view_copy_sent",
         "A peer requested a copy of this node's view of the store" },
+    event_info { event::EvacuationChanged, Info, "evacuation_changed",
+        "The evacuation of a data centre has begun or ended" },
     event_info { event::RequestDone, Info, "request_done", "A request was answered completely" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info {
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -36,6 +36,7 @@
     ServerChanged = 3008,
     ViewCopyTaken = 3009,
     ViewCopySent = 3010,
+    EvacuationChanged = 3011,
     RequestDone = 4001,
     RequestRefused = 4002,
     AttemptFailed = 4003,
--- a/tests/auto/catalogue/tst_serverdirectory.cpp
+++ b/tests/auto/catalogue/tst_serverdirectory.cpp
@@ -95,4 +95,39 @@
     BOOST_TEST(directory.usable("s").empty());
 }
 
+// A server tells how long it is cold; a later entry says that it no longer is.
+BOOST_FIXTURE_TEST_CASE(an_entry_tells_until_when_its_server_is_cold, directory_fixture)
+{
+    backend_server cold = serverOf("a", 2, 2);
+    cold.coldFor = 3s;
+    directory.put(a, cold, at(10s));
+    BOOST_TEST((directory.coldUntil(a, 3s) == at(13s)));
+    // The same entry, read again later, does not begin anew.
+    directory.replaceAll({ cold }, at(12s));
+    BOOST_TEST((directory.coldUntil(a, 3s) == at(13s)));
+    directory.put(a, serverOf("a", 3, 2), at(11s));
+    BOOST_TEST((directory.coldUntil(a, 3s) <= at(11s)));
+}
+
+// The servers of an evacuated data centre may be cold when it ends, and their entries say so a second later.
+// Guards against all nodes returning to them at full rate in that second.
+BOOST_FIXTURE_TEST_CASE(servers_count_as_cold_after_an_evacuation, directory_fixture)
+{
+    backend_server elsewhere = serverOf("b");
+    elsewhere.dataCentre = "dc-2";
+    directory.put(server_id("b"), elsewhere, at(0s));
+    directory.setEvacuated("", true, at(10s));
+    BOOST_TEST(!directory.isUsable(a));
+    BOOST_TEST(directory.isUsable(server_id("b")));
+    BOOST_TEST(directory.usableCount() == 1u);
+    BOOST_TEST((directory.coldUntil(a, 3s) <= at(0s)));
+    directory.setEvacuated("", false, at(20s));
+    BOOST_TEST(directory.isUsable(a));
+    BOOST_TEST((directory.coldUntil(a, 3s) == at(23s)));
+    BOOST_TEST((directory.coldUntil(server_id("b"), 3s) <= at(0s)));
+    // The end of an evacuation that never began means nothing.
+    directory.setEvacuated("dc-2", false, at(30s));
+    BOOST_TEST((directory.coldUntil(server_id("b"), 3s) <= at(0s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -15,13 +15,18 @@
 
 namespace {
 
+json::array textsJson(const std::vector<std::string>& texts)
+{
+    return json::array(texts.begin(), texts.end());
+}
+
 json::object routeJson(const std::string& name, const std::string& path, const std::string& kind,
-    const std::string& service, unsigned attempts)
+    const std::string& service, unsigned attempts, const std::vector<std::string>& regions)
 {
     return { { "name", name }, { "hostname", "shop.example" }, { "pathPrefix", path }, { "kind", kind },
         { "timeoutMs", 20000 }, { "targetLatencyMs", 5000 }, { "priority", 1 }, { "backend", service },
         { "maxAttempts", attempts }, { "public", false }, { "sticky", kind == "streaming" },
-        { "resumable", name == "chat" }, { "gapAimMs", 5000 } };
+        { "resumable", name == "chat" }, { "gapAimMs", 5000 }, { "allowedRegions", textsJson(regions) } };
 }
 
 } // namespace
@@ -43,39 +48,53 @@
 }
 
 void gateway_testbed::configure(unsigned version, bool hasSecondKey)
+{
+    configure(version, configuration_content { hasSecondKey });
+}
+
+void gateway_testbed::configure(unsigned version, const configuration_content& content)
 {
     json::array keys { "key-1" };
-    if (hasSecondKey)
+    if (content.hasSecondKey)
         keys.push_back("key-2");
     const json::object engine { { "slots", 8 }, { "kvCapacity", 100000 }, { "kvBytes", 18432 },
         { "linkMbps", 130000 } };
     const json::object document {
         { "resourceVersion", version },
         { "routes",
-            json::array { routeJson("pay", "/pay/", "non_idempotent", "press", 1),
-                routeJson("look", "/look/", "idempotent", "press", 2),
-                routeJson("chat", "/chat/", "streaming", "engines", 2),
-                routeJson("draft", "/draft/", "streaming", "engines", 1) } },
+            json::array { routeJson("pay", "/pay/", "non_idempotent", "press", 1, content.routeRegions),
+                routeJson("look", "/look/", "idempotent", "press", 2, content.routeRegions),
+                routeJson("chat", "/chat/", "streaming", "engines", 2, content.routeRegions),
+                routeJson("draft", "/draft/", "streaming", "engines", 1, content.routeRegions) } },
         { "services",
-            json::array {
-                json::object { { "name", "press" }, { "healthPath", "/healthz" }, { "maxConns", 9 } },
+            json::array { json::object { { "name", "press" }, { "healthPath", "/healthz" }, { "maxConns", 9 },
+                              { "coldStartS", 3 }, { "coldPerS", content.coldRequestsPerSecond } },
                 json::object { { "name", "engines" }, { "healthPath", "/healthz" }, { "maxConns", 9 },
                     { "engine", engine } } } },
         { "limits",
             json::object { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 3000 },
                 { "idleTimeoutMs", 15000 } } },
-        { "tenants", json::array { json::object { { "name", "print-shop" }, { "apiKeys", keys } } } },
+        { "tenants",
+            json::array { json::object { { "name", "print-shop" }, { "apiKeys", keys },
+                { "allowedRegions", textsJson(content.workspaceRegions) } } } },
     };
     m_store.put("op/config", json::serialize(document));
 }
 
 void gateway_testbed::announce(
     const replica_standin& replica, const std::string& service, const std::string& state)
+{
+    announce(replica, service, replica_entry { state });
+}
+
+void gateway_testbed::announce(
+    const replica_standin& replica, const std::string& service, const replica_entry& described)
 {
     const json::object entry { { "backend", service },
-        { "address", "127.0.0.1:" + std::to_string(routed(replica.port())) }, { "zone", "a" },
-        { "resourceVersion", "v1" }, { "slots", 8 }, { "state", state }, { "coldRemainingMs", 0 },
-        { "sequence", 1 }, { "born", 1700000000000 } };
+        { "address", "127.0.0.1:" + std::to_string(routed(replica.port())) },
+        { "zone", described.dataCentre }, { "resourceVersion", "v1" }, { "slots", 8 },
+        { "state", described.state }, { "coldRemainingMs", described.coldMs }, { "sequence", 1 },
+        { "born", 1700000000000 } };
     m_store.put("servers/" + replica.id(), json::serialize(entry));
 }
 
@@ -117,10 +136,12 @@
     for (const auto& other : m_nodes)
         seeds += (seeds.empty() ? "\"" : ", \"") + other->address + ":1\"";
     const std::string store = "127.0.0.1:" + std::to_string(routed(node.storePort));
+    const std::string regions = "[zones]\na = \"north\"\nb = \"north\"\nc = \"south\"\n";
     return "node = \"" + node.name + "\"\nzone = \"a\"\nseeds = [" + seeds + "]\ninternalPorts = ["
-        + std::to_string(peerPort) + ", " + std::to_string(peerPort) + "]\n[listen]\nfront = \""
-        + node.address + ":" + std::to_string(node.callerPort) + "\"\nreadiness = \"" + node.address + ":"
-        + std::to_string(node.readinessPort) + "\"\n[provider]\naddress = \"" + store + "\"\n";
+        + std::to_string(peerPort) + ", " + std::to_string(peerPort) + "]\n" + regions
+        + "[listen]\nfront = \"" + node.address + ":" + std::to_string(node.callerPort) + "\"\nreadiness = \""
+        + node.address + ":" + std::to_string(node.readinessPort) + "\"\n[provider]\naddress = \"" + store
+        + "\"\n";
 }
 
 bool gateway_testbed::isReady(const gateway_node& node) const
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -24,6 +24,21 @@
     std::unique_ptr<spawned_process> process;
 };
 
+/// What a replica says of itself.
+struct replica_entry {
+    std::string state = "ready";
+    std::string dataCentre = "a"; ///< "a" and "b" are in "north", "c" in "south"
+    unsigned coldMs = 0;
+};
+
+/// What a configuration says besides its version.
+struct configuration_content {
+    bool hasSecondKey = false; ///< of the workspace "print-shop": "key-2" besides "key-1"
+    std::vector<std::string> routeRegions {}; ///< of all routes
+    std::vector<std::string> workspaceRegions {};
+    double coldRequestsPerSecond = 0; ///< of the service "press"; 0: not limited
+};
+
 /// Real gateway processes with stand-ins for the platform's store and for replicas. Tests wait for states,
 /// never for fixed times.
 class gateway_testbed {
@@ -43,8 +58,11 @@
     /// Writes the configuration with that version. Its workspace "print-shop" has the key "key-1", and also
     /// "key-2" if `hasSecondKey`.
     void configure(unsigned version, bool hasSecondKey = false);
+    void configure(unsigned version, const configuration_content& content);
     void announce(const platform_standin::replica_standin& replica, const std::string& service,
         const std::string& state = "ready");
+    void announce(const platform_standin::replica_standin& replica, const std::string& service,
+        const replica_entry& entry);
     void withdraw(const platform_standin::replica_standin& replica);
     /// Starts a node, with the nodes started before as its seeds.
     gateway_node& startNode(platform_standin::store_mode mode = platform_standin::store_mode::Serve);
--- a/tests/auto/gateway/tst_gatewayknowledge.cpp
+++ b/tests/auto/gateway/tst_gatewayknowledge.cpp
@@ -189,4 +189,95 @@
     BOOST_TEST(waitUntil([&] { return ask(node(0), question).status == 200; }));
 }
 
+// Operators evacuate a data centre. Guards against requests to it, also by a node that relies on the peer,
+// and against its never being used again. Where nothing is left, a request is refused at once and told when
+// to return.
+BOOST_FIXTURE_TEST_CASE(an_evacuated_data_centre_gets_no_requests, gateway_testbed)
+{
+    announce(press(1), "press", replica_entry { "ready", "b" });
+    configure(1);
+    startNode();
+    startNode();
+    awaitReady(node(0));
+    awaitReady(node(1));
+    store().setMode(node(1).storePort, store_mode::Refuse);
+    const auto isLeftAlone = [&](std::size_t index, std::size_t asked) {
+        const std::size_t before = press(index).requestCount();
+        bool isServed = true;
+        for (int i = 0; i < 6; ++i)
+            isServed = ask(node(asked), question("GET", "/look/1")).status == 200 && isServed;
+        return isServed && press(index).requestCount() == before;
+    };
+    store().put("op/evacuate/a", "{}");
+    BOOST_TEST(waitUntil([&] { return isLeftAlone(0, 0) && isLeftAlone(0, 1); }));
+    store().put("op/evacuate/b", "{}");
+    for (const std::size_t asked : { 0U, 1U }) {
+        BOOST_TEST(waitUntil([&] {
+            const http_reply reply = ask(node(asked), question("POST", "/pay/1", "5"));
+            return reply.status == 503 && reply.headers.contains("Retry-After");
+        }));
+    }
+    const std::size_t before = press(1).requestCount();
+    store().remove("op/evacuate/b");
+    for (const std::size_t asked : { 0U, 1U })
+        BOOST_TEST(waitUntil([&] { return ask(node(asked), question("GET", "/look/1")).status == 200; }));
+    BOOST_TEST(press(1).requestCount() > before);
+    store().remove("op/evacuate/a");
+    BOOST_TEST(waitUntil([&] { return !isLeftAlone(0, 0); }));
+}
+
+// A server that says it is cold takes two requests a second. Guards against its being sent whatever comes.
+BOOST_FIXTURE_TEST_CASE(a_cold_replica_gets_few_requests, gateway_testbed)
+{
+    announce(press(0), "press", replica_entry { "ready", "a", 600000 });
+    withdraw(press(1));
+    configuration_content content;
+    content.coldRequestsPerSecond = 2;
+    configure(1, content);
+    startNode();
+    awaitReady(node(0));
+    BOOST_TEST(waitUntil([&] { return ask(node(0), question("GET", "/look/1")).status == 200; }));
+    unsigned refused = 0;
+    for (int i = 0; i < 40; ++i)
+        refused += ask(node(0), question("GET", "/look/1")).status == 503 ? 1 : 0;
+    BOOST_TEST(refused > 0u);
+    const auto arrivals = press(0).requests();
+    for (std::size_t i = 2; i < arrivals.size(); ++i) {
+        const auto gap = arrivals[i].arrivedAt - arrivals[i - 2].arrivedAt;
+        BOOST_TEST((gap >= std::chrono::seconds(1)));
+    }
+    announce(press(0), "press");
+    BOOST_TEST(waitUntil([&] {
+        unsigned served = 0;
+        for (int i = 0; i < 10; ++i)
+            served += ask(node(0), question("GET", "/look/1")).status == 200 ? 1 : 0;
+        return served == 10;
+    }));
+}
+
+// Route and workspace allow regions. Guards against a request that runs elsewhere, and against a wait where
+// none fits.
+BOOST_FIXTURE_TEST_CASE(requests_stay_in_the_regions_allowed, gateway_testbed)
+{
+    announce(press(0), "press", replica_entry { "ready", "c" });
+    announce(press(1), "press", replica_entry { "ready", "b" });
+    configuration_content content;
+    content.routeRegions = { "north", "south" };
+    content.workspaceRegions = { "south", "west" };
+    configure(1, content);
+    startNode();
+    awaitReady(node(0));
+    for (int i = 0; i < 8; ++i)
+        BOOST_TEST(ask(node(0), question("GET", "/look/1")).status == 200);
+    BOOST_TEST(press(0).requestCount() == 8u);
+    BOOST_TEST(press(1).requestCount() == 0u);
+    content.workspaceRegions = { "west" };
+    configure(2, content);
+    BOOST_TEST(waitUntil([&] { return ask(node(0), question("GET", "/look/1")).status == 503; }));
+    const std::size_t before = press(0).requestCount();
+    BOOST_TEST(ask(node(0), question("POST", "/pay/1", "5")).status == 503);
+    BOOST_TEST(press(0).requestCount() == before);
+    BOOST_TEST(press(1).requestCount() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_storeview.cpp
+++ b/tests/auto/gateway/tst_storeview.cpp
@@ -12,6 +12,7 @@
     static std::string_view configurationKey() { return "config"; }
     static std::string_view watchedPrefix() { return ""; }
     static std::string_view serverPrefix() { return "servers/"; }
+    static std::string_view evacuationPrefix() { return "evacuate/"; }
     static utils::result<catalogue::configuration_ptr> decodeConfiguration(std::string_view bytes)
     {
         if (bytes.empty() || bytes.find_first_not_of("0123456789") != std::string_view::npos)
@@ -29,6 +30,7 @@
         server.id = utils::server_id(std::string(id));
         server.service = "s";
         server.address = bytes;
+        server.dataCentre = "dc";
         server.revision = revision;
         return server;
     }
@@ -232,4 +234,72 @@
     BOOST_TEST(context.servers.usable("s").size() == 1u);
 }
 
+// Operators evacuate a data centre and end that again. Guards against requests to its servers meanwhile.
+BOOST_FIXTURE_TEST_CASE(an_evacuation_lasts_until_its_item_is_removed, view_fixture)
+{
+    view.applyServers({ { "servers/a", "10.0.0.1:1", 3 } }, 5, now);
+    view.applyServerChange({ { "evacuate/dc", "{}", 6 }, false }, now);
+    BOOST_TEST(context.servers.usable("s").empty());
+    BOOST_TEST(!context.servers.isUsable(utils::server_id("a")));
+    BOOST_TEST(context.servers.present("s").size() == 1u);
+    view.applyServerChange({ { "evacuate/dc", "", 9 }, true }, now);
+    BOOST_TEST(context.servers.usable("s").size() == 1u);
+    // A peer reports the beginning after the end was known.
+    view.applyServerChange({ { "evacuate/dc", "{}", 8 }, false }, now, false, "peer");
+    BOOST_TEST(context.servers.usable("s").size() == 1u);
+}
+
+// Guards against a node that does not follow the store, or that starts meanwhile, and never learns of an
+// evacuation or of its end.
+BOOST_FIXTURE_TEST_CASE(an_evacuation_reaches_peers, view_fixture)
+{
+    const std::vector<gateway::store_item> first { { "servers/a", "10.0.0.1:1", 3 } };
+    view.applyServers(first, 5, now);
+    view_fixture passive;
+    passive.view.applyServers(first, 5, now);
+    const auto update = [&](view_fixture& node) {
+        BOOST_TEST(node.view.isBehind(gateway::view_part::Servers, 0, view.serversRevision()));
+        node.view.applyCopy(view.copy(node.view.request(gateway::view_part::Servers), now), now);
+    };
+    view.applyServerChange({ { "evacuate/dc", "{}", 7 }, false }, now);
+    view.advanceServers(7);
+    update(passive);
+    BOOST_TEST(passive.context.servers.usable("s").empty());
+    view_fixture started;
+    update(started);
+    BOOST_TEST(started.context.servers.isEvacuated("dc"));
+    view.applyServerChange({ { "evacuate/dc", "", 8 }, true }, now);
+    view.advanceServers(8);
+    update(passive);
+    update(started);
+    BOOST_TEST(passive.context.servers.usable("s").size() == 1u);
+    BOOST_TEST(started.context.servers.usable("s").size() == 1u);
+}
+
+// The store discards its history while an evacuation begins or ends, so that only a full read shows it.
+BOOST_FIXTURE_TEST_CASE(a_full_read_shows_evacuations, view_fixture)
+{
+    const gateway::store_item server { "servers/a", "10.0.0.1:1", 3 };
+    view.applyServers({ server, { "evacuate/dc", "{}", 6 } }, 7, now);
+    BOOST_TEST(context.servers.usable("s").empty());
+    // An older full copy does not end it.
+    gateway::view_copy older;
+    older.servers.push_back({ server });
+    older.serversAsOf = 5;
+    view.applyCopy(older, now);
+    BOOST_TEST(context.servers.usable("s").empty());
+    view.applyServers({ server }, 9, now);
+    BOOST_TEST(context.servers.usable("s").size() == 1u);
+}
+
+// An evacuation is no lease: an outage of the store does not prolong it.
+BOOST_FIXTURE_TEST_CASE(the_end_of_an_evacuation_counts_after_an_outage, view_fixture)
+{
+    view.applyServers({ { "servers/a", "10.0.0.1:1", 3 }, { "evacuate/dc", "{}", 4 } }, 5, now);
+    context.servers.setStoreReachable(false, now);
+    context.servers.setStoreReachable(true, now);
+    view.applyServers({ { "servers/a", "10.0.0.1:1", 3 } }, 8, now);
+    BOOST_TEST(context.servers.usable("s").size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_viewupdater.cpp
+++ b/tests/auto/gateway/tst_viewupdater.cpp
@@ -19,6 +19,7 @@
     static std::string_view configurationKey() { return "configuration"; }
     static std::string_view watchedPrefix() { return {}; }
     static std::string_view serverPrefix() { return "servers/"; }
+    static std::string_view evacuationPrefix() { return "evacuate/"; }
     static utils::result<catalogue::configuration_ptr> decodeConfiguration(std::string_view bytes)
     {
         auto configuration = std::make_shared<catalogue::configuration>();
--- a/tests/auto/platform/tst_decoders.cpp
+++ b/tests/auto/platform/tst_decoders.cpp
@@ -13,11 +13,11 @@
 const std::string document
     = R"({"resourceVersion":7,"routes":[{"name":"r1","hostname":"a.example","pathPrefix":"/chat/","kind":"streaming",
 "timeoutMs":12000,"targetLatencyMs":1000,"priority":0,"trafficSplit":[{"backend":"e","weight":90},{"backend":"p","weight":10}],
-"maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":500},
+"maxAttempts":2,"allowedRegions":["north","south"],"public":false,"sticky":true,"resumable":true,"gapAimMs":500},
 {"name":"r2","hostname":"a.example","pathPrefix":"/pay/","kind":"new_kind","timeoutMs":800,"backend":"p","future":1}],
 "services":[{"name":"e","healthPath":"/healthz","maxConns":360,"engine":{"slots":64,"kvCapacity":498762,"kvBytes":18432,"linkMbps":130000.0}},
-{"name":"p","healthPath":"/healthz","maxConns":100}],"limits":{"maxHeaderBytes":16384,"idleTimeoutMs":15000},
-"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"name":"t2","apiKeys":[]}]})";
+{"name":"p","healthPath":"/healthz","maxConns":100,"coldStartS":3.5,"coldPerS":8.7}],"limits":{"maxHeaderBytes":16384,"idleTimeoutMs":15000},
+"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,"allowedRegions":["north"]},{"name":"t2","apiKeys":[]}]})";
 
 std::string replaced(std::string text, const std::string& what, const std::string& with)
 {
@@ -69,6 +69,12 @@
     BOOST_TEST(configuration->findWorkspace("k2")->priority.value() == 1);
     BOOST_TEST(configuration->findWorkspace("k3") == nullptr);
     BOOST_TEST(configuration->needsKeys);
+    BOOST_TEST(chat.regions.size() == 2u);
+    BOOST_TEST(configuration->routes.at(1).regions.empty());
+    BOOST_TEST(configuration->findWorkspace("k1")->regions.front() == "north");
+    BOOST_TEST(!configuration->findService("e")->coldStart.has_value());
+    BOOST_TEST((configuration->findService("p")->coldStart->length == 3500ms));
+    BOOST_TEST(configuration->findService("p")->coldStart->requestsPerSecond == 8.7);
 }
 
 // Guards against all requests of a workspace with its own priority getting the same urgency: engines and load
@@ -113,6 +119,10 @@
     BOOST_TEST(
         problemOf(replaced(document, "\"timeoutMs\":12000", "\"timeoutMs\":\"soon\"")).find("timeoutMs")
         != std::string::npos);
+    BOOST_TEST(problemOf(replaced(document, "[\"north\",\"south\"]", "[7]")).find("allowedRegions")
+        != std::string::npos);
+    BOOST_TEST(problemOf(replaced(document, "\"coldPerS\":8.7", "\"coldPerS\":[]")).find("coldPerS")
+        != std::string::npos);
     BOOST_TEST(problemOf(replaced(document, "\"hostname\":\"a.example\",", "")).find("hostname")
         != std::string::npos);
     BOOST_TEST(problemOf(replaced(document, "\"resourceVersion\":7", "\"resourceVersion\":-7"))
@@ -130,6 +140,9 @@
     BOOST_TEST(server->service == "e");
     BOOST_TEST(server->startedAtMs == 1700u);
     BOOST_TEST(!server->isDraining);
+    BOOST_TEST((server->coldFor == 0s));
+    BOOST_TEST(
+        (serverOf(replaced(entry, "\"born\"", "\"coldRemainingMs\":2750,\"born\""))->coldFor == 2750ms));
     BOOST_TEST(serverOf(replaced(entry, "ready", "draining"))->isDraining);
     BOOST_TEST(!serverOf(replaced(entry, "ready", "asleep")).has_value());
     BOOST_TEST(!serverOf(replaced(entry, "\"slots\":64", "\"slots\":\"64\"")).has_value());
--- a/tests/auto/platform/tst_nodesettings.cpp
+++ b/tests/auto/platform/tst_nodesettings.cpp
@@ -15,6 +15,9 @@
 internalPorts = [7340,7355]
 seeds = ["10.1.0.40:8229","10.2.0.29:8229"]
 future = { x = 1 }
+[zones]
+a = "north"
+b-1 = "south"
 [listen]
 front = "10.1.0.40:8227"
 readiness = "10.1.0.40:8220"
@@ -24,6 +27,7 @@
 budgetExtra = 54
 configApplyMs = 2500
 drainMs = 3000
+evacuateMs = 4000
 [provider]
 address = "10.200.1.7:8223"
 )";
@@ -72,6 +76,9 @@
     BOOST_TEST((options.repeats.window == 10s));
     BOOST_TEST((options.applyTime == 2500ms));
     BOOST_TEST((options.drainTime == 3s));
+    BOOST_TEST((options.evacuationTime == 4s));
+    BOOST_TEST(options.regions.size() == 2u);
+    BOOST_TEST(options.regions.at("b-1") == "south");
 }
 
 BOOST_AUTO_TEST_CASE(failure_names_field_or_line)
@@ -83,6 +90,7 @@
         problemOf(replaced(settings, "10.1.0.40:8227", "nowhere")).find("listen.front") != std::string::npos);
     BOOST_TEST(
         problemOf(replaced(settings, "[7340,7355]", "[0]")).find("internalPorts") != std::string::npos);
+    BOOST_TEST(problemOf(replaced(settings, "b-1 = \"south\"", "b-1 = 3")).find("b-1") != std::string::npos);
     BOOST_TEST(
         problemOf(replaced(settings, "graceS = 9", "graceS = \"long\"")).find("graceS") != std::string::npos);
 }
