--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -93,6 +93,7 @@
             if (request.method == "POST" && request.body != request.id)
                 breaks(request.id, "reached " + each.server + " with another body");
             checkLeaving(each, *call->second);
+            checkEvacuation(each, *call->second);
         }
     }
 
@@ -108,6 +109,22 @@
             breaks(call.id, "reached " + each.server + " after it had left");
     }
 
+    void checkEvacuation(const arrival& each, const call_record& call)
+    {
+        const auto dataCentre = m_evidence.dataCentres.find(each.server);
+        if (!m_bounds || dataCentre == m_evidence.dataCentres.end())
+            return;
+        const auto evacuations = m_evidence.evacuated.find(dataCentre->second);
+        if (evacuations == m_evidence.evacuated.end())
+            return;
+        const time_point arrivedAt = each.request.arrivedAt;
+        const bool isForbidden = std::ranges::any_of(evacuations->second, [&](const span& evacuation) {
+            return arrivedAt > evacuation.from + m_bounds->evacuating && arrivedAt < evacuation.to;
+        });
+        if (isForbidden && isInTouch(call.node, arrivedAt))
+            breaks(call.id, "reached " + each.server + " in a data centre that was evacuated");
+    }
+
     void checkAnswer(const call_record& call)
     {
         if (isSuccess(call.status) && (!call.isMarked || call.answeredId != call.id))
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -55,6 +55,8 @@
     std::vector<std::vector<span>> nodeFaults; ///< of each node, also those of its link to the store
     std::map<std::string, std::vector<span>> linkFaults; ///< of the link to that backend server
     std::map<std::string, time_point> leftAt; ///< backend servers, when the store had it
+    std::map<std::string, std::string> dataCentres; ///< of each backend server
+    std::map<std::string, std::vector<span>> evacuated; ///< by data centre, as the store had it
     std::vector<span> withoutSecondKey; ///< from the store's knowing to its knowing better
     std::string wholeStream; ///< the body of a stream from its first event to its last
     std::vector<std::string> ownEnds; ///< nodes that ended though nobody ended them
@@ -67,6 +69,8 @@
         = std::chrono::milliseconds(5000); ///< after a fault: the platform's 3 s and a busy machine
     duration leaving
         = std::chrono::milliseconds(2500); ///< the platform's 2 s and half a second for a busy machine
+    duration evacuating
+        = std::chrono::milliseconds(5500); ///< the platform's 5 s and half a second for a busy machine
     duration inForce = std::chrono::milliseconds(2500); ///< likewise
 };
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 15> kinds { {
+constexpr std::array<std::pair<fault_kind, std::string_view>, 16> kinds { {
     { fault_kind::KillNode, "kill_node" },
     { fault_kind::PauseNode, "pause_node" },
     { fault_kind::StopNode, "stop_node" },
@@ -25,8 +25,14 @@
     { fault_kind::ServerLeaves, "server_leaves" },
     { fault_kind::KeyRevoked, "key_revoked" },
     { fault_kind::ConfigurationChanges, "configuration_changes" },
+    { fault_kind::DataCentreEvacuated, "data_centre_evacuated" },
 } };
 
+// Evacuations, the last kind, are drawn apart, so that a seed from before them has the faults that it had.
+constexpr std::size_t drawnKinds = kinds.size() - 1;
+constexpr std::uint64_t evacuationSalt = 0x9e3779b97f4a7c15;
+constexpr int mostEvacuations = 2;
+constexpr auto evacuationLead = std::chrono::seconds(5); // until no request may arrive any more
 // One group of faults begins each second or so: with lengths up to four seconds two or three overlap.
 constexpr auto meanPause = std::chrono::milliseconds(900);
 constexpr int shortest = 100; // ms
@@ -42,7 +48,7 @@
 planned_fault drawFault(std::mt19937_64& random, duration at)
 {
     planned_fault fault;
-    fault.kind = kinds.at(random() % kinds.size()).first;
+    fault.kind = kinds.at(random() % drawnKinds).first;
     fault.at = at;
     fault.lasts = duration(drawBetween(random, shortest, longest));
     fault.target = random();
@@ -50,6 +56,18 @@
     return fault;
 }
 
+void addEvacuations(std::vector<planned_fault>& plan, std::uint64_t seed, duration end)
+{
+    std::mt19937_64 random(seed ^ evacuationSalt);
+    for (int i = drawBetween(random, 0, mostEvacuations); i > 0; --i) {
+        planned_fault fault
+            = drawFault(random, duration(drawBetween(random, 0, static_cast<int>(end.count()))));
+        fault.kind = fault_kind::DataCentreEvacuated;
+        fault.lasts += evacuationLead;
+        plan.push_back(fault);
+    }
+}
+
 } // namespace
 
 std::string_view toString(fault_kind kind)
@@ -74,6 +92,7 @@
             plan.push_back(fault);
         }
     }
+    addEvacuations(plan, seed, end);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -26,6 +26,7 @@
     ServerLeaves, ///< it drains, and another takes its place
     KeyRevoked, ///< one of two keys is taken away, and given back at the end
     ConfigurationChanges, ///< a new version that changes nothing
+    DataCentreEvacuated, ///< half of the backend servers may get nothing; they are cold at the end
 };
 
 /// The kind's name in reports.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -30,6 +30,15 @@
 constexpr std::array engineActs { replica_act::StreamCut, replica_act::StreamCutOnce, replica_act::Shed,
     replica_act::ShedUnmarked, replica_act::Cut, replica_act::Hang };
 
+// A replica that comes back after an evacuation.
+constexpr duration coldTime = std::chrono::milliseconds(500);
+
+/// Data centre of the server at that position: they take turns.
+std::string dataCentreOf(std::size_t server)
+{
+    return server % 2 == 0 ? "a" : "b";
+}
+
 time_point now()
 {
     return std::chrono::steady_clock::now();
@@ -141,9 +150,30 @@
         return takeKeyAway(fault.lasts);
     case fault_kind::ConfigurationChanges:
         return m_world.configure(++m_version, m_keysTaken == 0);
+    case fault_kind::DataCentreEvacuated:
+        return evacuate(dataCentreOf(fault.target), fault.lasts);
     }
 }
 
+void soak_run::evacuate(const std::string& dataCentre, duration lasts)
+{
+    const std::string key = "op/evacuate/" + dataCentre;
+    if (++m_evacuations[dataCentre] == 1) {
+        m_world.store().put(key, "{}");
+        m_evidence.evacuated[dataCentre].push_back({ now(), time_point::max() });
+    }
+    until(lasts, [this, dataCentre, key] {
+        if (--m_evacuations[dataCentre] > 0)
+            return;
+        m_evidence.evacuated[dataCentre].back().to = now();
+        m_world.store().remove(key);
+        for (std::size_t server = 0; server < m_serving.size(); ++server) {
+            if (dataCentreOf(server) == dataCentre)
+                announce(server, "ready", coldTime);
+        }
+    });
+}
+
 void soak_run::beginOnNode(const planned_fault& fault, std::size_t node)
 {
     spawned_process& process = *m_world.node(node).process;
@@ -242,13 +272,15 @@
         m_servers.back()->setEvents(eventsOfStream, eventsOfStream / 2);
         m_servers.back()->act(replica_act::Stream);
     }
+    m_evidence.dataCentres[id] = dataCentreOf(server);
     announce(server, "ready");
 }
 
-void soak_run::announce(std::size_t server, const std::string& state)
+void soak_run::announce(std::size_t server, const std::string& state, duration coldFor)
 {
     const bool isPress = server < m_size.servers;
-    m_world.announce(*m_servers[m_serving[server]], isPress ? "press" : "engines", state);
+    const replica_entry entry { state, dataCentreOf(server), static_cast<unsigned>(coldFor.count()) };
+    m_world.announce(*m_servers[m_serving[server]], isPress ? "press" : "engines", entry);
 }
 
 void soak_run::until(duration lasts, std::function<void()> undo)
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -48,8 +48,9 @@
     void beginOnStore(const planned_fault& fault, std::size_t node);
     void beginOnServer(const planned_fault& fault);
     void takeKeyAway(duration lasts);
+    void evacuate(const std::string& dataCentre, duration lasts);
     void replaceServer(std::size_t server);
-    void announce(std::size_t server, const std::string& state);
+    void announce(std::size_t server, const std::string& state, duration coldFor = {});
     void until(duration lasts, std::function<void()> undo);
     void faultOnNode(std::size_t node, duration lasts);
     void tick();
@@ -69,6 +70,7 @@
     std::vector<node_life> m_lives;
     std::vector<pending_end> m_ends;
     unsigned m_version = 1;
+    std::map<std::string, unsigned> m_evacuations; ///< in force now, by data centre
     unsigned m_keysTaken = 0; ///< faults that keep the second key away now
     soak_evidence m_evidence;
 };
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -105,6 +105,26 @@
     BOOST_TEST(brokenCount(evidence) == 1u);
 }
 
+// Late in an evacuated data centre: only of nodes in touch, while it lasts, and where bounds are checked.
+BOOST_AUTO_TEST_CASE(arrivals_in_evacuated_data_centres_are_seen)
+{
+    soak_evidence evidence = soundEvidence();
+    evidence.dataCentres["press-1"] = "b";
+    evidence.evacuated["b"] = { { start - 6s, start + 6s } };
+    BOOST_TEST(brokenCount(evidence) == 1u);
+    BOOST_TEST(brokenPromises(evidence, std::nullopt).empty());
+    evidence.nodeFaults[0] = { { start - 5s, start - 4s } };
+    BOOST_TEST(brokenCount(evidence) == 0u);
+    evidence.nodeFaults[0].clear();
+    evidence.evacuated["b"] = { { start - 5s, start + 6s } };
+    BOOST_TEST(brokenCount(evidence) == 0u);
+    evidence.evacuated["b"] = { { start - 16s, start - 6s } };
+    BOOST_TEST(brokenCount(evidence) == 0u);
+    evidence.evacuated["b"] = { { start - 6s, start + 6s } };
+    evidence.dataCentres["press-1"] = "a";
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
 // Late at a server that left: only of nodes in touch, over a link in order, and where bounds are checked.
 BOOST_AUTO_TEST_CASE(late_arrivals_at_leaving_servers_are_seen)
 {
