Parts that are not where nodes look are told to all of them

A placement was told to ten of 60 nodes, whether the others would have found it by rank or not.

An engine that is not the first of the ranking is now told to all nodes with the short heartbeat (parts of 2,000 tokens and more); an engine that is not the first copies from the first where nothing better is known.

Tests: a_part_that_is_not_where_nodes_look_is_marked_for_all, an_engine_copies_from_where_nodes_look, a_heartbeat_without_lists_carries_placements.

--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -25,10 +25,17 @@
 }
 
 /// Rendezvous hash score of a server for a prompt, the same on every node; the highest ranks first.
-double rankOf(const server_candidate& candidate, std::uint64_t key)
+double rankOf(const utils::server_id& server, std::uint64_t key)
 {
-    const std::uint64_t mixed = utils::combineHashes(key, utils::hash64(candidate.id.str()));
-    return candidate.weight / -std::log(utils::toUnitInterval(mixed));
+    const std::uint64_t mixed = utils::combineHashes(key, utils::hash64(server.str()));
+    return 1 / -std::log(utils::toUnitInterval(mixed));
+}
+
+/// Returns the key of the ranking that all nodes compute alike for a prompt: its last shared part.
+std::uint64_t rankingKey(std::span<const prompt_part> parts)
+{
+    const std::span<const prompt_part> shared = sharedOf(parts);
+    return shared.empty() ? parts.back().id : shared.back().id;
 }
 
 /// Returns the cost of an engine besides its work, as a fraction of the target.
@@ -137,9 +144,8 @@
 const server_candidate* server_choice::presumedHolder(
     const std::vector<engine_view>& views, const placement_query& query)
 {
-    const std::span<const prompt_part> shared = sharedOf(query.parts);
-    const std::uint64_t key = shared.empty() ? query.parts.back().id : shared.back().id;
-    const std::uint32_t sharedTokens = tokensOf(shared);
+    const std::uint64_t key = rankingKey(query.parts);
+    const std::uint32_t sharedTokens = tokensOf(sharedOf(query.parts));
     const server_candidate* first = nullptr;
     double firstRank = -1;
     for (const engine_view& view : views) {
@@ -147,7 +153,7 @@
             continue;
         if (view.heldTokens >= sharedTokens)
             return nullptr;
-        const double rank = rankOf(*view.candidate, key);
+        const double rank = view.candidate->weight * rankOf(view.candidate->id, key);
         if (rank > firstRank) {
             firstRank = rank;
             first = view.candidate;
@@ -156,6 +162,15 @@
     return first;
 }
 
+bool server_choice::isUnexpected(const utils::server_id& server,
+    const std::vector<server_candidate>& candidates, std::span<const prompt_part> parts)
+{
+    if (tokensOf(sharedOf(parts)) < minPresumedTokens)
+        return false;
+    const server_candidate* first = firstOfRanking(candidates, rankingKey(parts));
+    return first != nullptr && first->id != server;
+}
+
 double server_choice::costOf(const engine_view& view, const placement_query& query, double heldTokens)
 {
     const response_times& times = query.times;
@@ -189,6 +204,8 @@
             isBestInBound = view.isInBound;
         }
     }
+    if (best)
+        best->isUnexpected = isUnexpected(best->server, candidates, query.parts);
     return best;
 }
 
@@ -209,7 +226,37 @@
     return best;
 }
 
-void server_choice::recordSent(const server_candidate& server, std::span<const prompt_part> parts)
+std::optional<utils::server_id> server_choice::presumedSourceFor(const server_candidate& chosen,
+    const std::vector<server_candidate>& holders, std::span<const prompt_part> parts,
+    std::uint32_t knownTokens) const
+{
+    const std::span<const prompt_part> shared = sharedOf(parts);
+    const std::uint32_t sharedTokens = tokensOf(shared);
+    const std::uint32_t lacking = sharedTokens - std::min(heldTokens(chosen, shared), sharedTokens);
+    if (lacking < minPresumedTokens || knownTokens >= presumedHeldShare * lacking)
+        return std::nullopt;
+    const server_candidate* first = firstOfRanking(holders, rankingKey(parts));
+    const bool isUsable = first != nullptr && first->id != chosen.id && first->weight > 0;
+    return isUsable ? std::optional(first->id) : std::nullopt;
+}
+
+const server_candidate* server_choice::firstOfRanking(
+    const std::vector<server_candidate>& candidates, std::uint64_t key)
+{
+    const server_candidate* first = nullptr;
+    double firstRank = 0;
+    for (const server_candidate& candidate : candidates) {
+        const double rank = rankOf(candidate.id, key);
+        if (rank > firstRank) {
+            first = &candidate;
+            firstRank = rank;
+        }
+    }
+    return first;
+}
+
+void server_choice::recordSent(
+    const server_candidate& server, std::span<const prompt_part> parts, bool isUnexpected)
 {
     if (server.cacheTokens == 0 || parts.empty())
         return;
@@ -219,11 +266,11 @@
     const bool isNew = sharedTokens >= minUpdateTokens && memory.heldTokens(shared) < sharedTokens;
     memory.touch(parts);
     if (isNew)
-        addUpdate(server, shared, false);
+        addUpdate(server, shared, false, isUnexpected);
 }
 
-void server_choice::recordWithdrawn(
-    const server_candidate& server, std::span<const prompt_part> parts, std::uint32_t heldTokens)
+void server_choice::recordWithdrawn(const server_candidate& server, std::span<const prompt_part> parts,
+    std::uint32_t heldTokens, bool isUnexpected)
 {
     if (server.cacheTokens == 0)
         return;
@@ -235,15 +282,15 @@
     prefixesOf(server.id, server.startedAtMs, server.cacheTokens).forget(parts);
     const std::span<const prompt_part> shared = sharedOf(parts);
     if (tokensOf(shared) >= minUpdateTokens)
-        addUpdate(server, shared, true);
+        addUpdate(server, shared, true, isUnexpected);
 }
 
 void server_choice::addUpdate(
-    const server_candidate& server, std::span<const prompt_part> parts, bool isWithdrawn)
+    const server_candidate& server, std::span<const prompt_part> parts, bool isWithdrawn, bool isUnexpected)
 {
     if (m_updates.size() < maxUpdates)
-        m_updates.push_back(
-            { server.id.str(), server.startedAtMs, { parts.begin(), parts.end() }, isWithdrawn });
+        m_updates.push_back({ server.id.str(), server.startedAtMs, { parts.begin(), parts.end() },
+            isWithdrawn, isUnexpected });
 }
 
 void server_choice::applyUpdate(const placement_update& update, std::uint64_t cacheTokens)
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -33,6 +33,7 @@
     std::uint64_t startedAtMs = 0;
     std::vector<prompt_part> parts;
     bool isWithdrawn = false; ///< the request ended before the prefill finished, so they are not held
+    bool isUnexpected = false; ///< the server is not the first of the parts' ranking, where other nodes look
 };
 
 /// The request to be placed.
@@ -58,6 +59,7 @@
     load_total load; ///< load of the server from all nodes, before this request
     std::uint32_t heldTokens = 0; ///< estimate of the prompt tokens that the server holds in its cache
     double cost = 0; ///< of the chosen server: seconds for an engine, running requests for a plain service
+    bool isUnexpected = false; ///< an engine that is not the first of the ranking for the shared parts
 };
 
 /// Chooses a backend server for a request by the work that the request would wait for there.
@@ -114,13 +116,22 @@
     /// requests.
     std::optional<cache_source> sourceFor(const server_candidate& chosen,
         const std::vector<server_candidate>& holders, std::span<const prompt_part> parts) const;
-    /// Records that a request with these parts was sent to the server.
-    void recordSent(const server_candidate& server, std::span<const prompt_part> parts);
+    /// Returns an engine that may hold the parts although nothing is known of that: the first of their
+    /// ranking, where other nodes send them. Nothing if the chosen engine is the first, if it lacks few
+    /// tokens, or if another engine is known to hold most of them; `knownTokens` are those of sourceFor(). A
+    /// copy from an engine that holds nothing takes a few milliseconds.
+    std::optional<utils::server_id> presumedSourceFor(const server_candidate& chosen,
+        const std::vector<server_candidate>& holders, std::span<const prompt_part> parts,
+        std::uint32_t knownTokens) const;
+    /// Records that a request with these parts was sent to the server. `isUnexpected` as in the placement
+    /// that choose() returned.
+    void recordSent(
+        const server_candidate& server, std::span<const prompt_part> parts, bool isUnexpected = false);
     /// Records that a request ended before its prefill finished. `heldTokens` of its prompt were held before
     /// it was sent; the parts after them are no longer counted as held, so that the next request with these
     /// parts is given the time for their prefill.
-    void recordWithdrawn(
-        const server_candidate& server, std::span<const prompt_part> parts, std::uint32_t heldTokens);
+    void recordWithdrawn(const server_candidate& server, std::span<const prompt_part> parts,
+        std::uint32_t heldTokens, bool isUnexpected = false);
     /// Applies an update from another node. `cacheTokens`: cache capacity of the server that it names.
     void applyUpdate(const placement_update& update, std::uint64_t cacheTokens);
     /// Returns the pending updates for other nodes and clears them; at most maxUpdates.
@@ -128,6 +139,9 @@
 
     /// Prefill of fewer tokens takes about as long as starting a copy.
     static constexpr std::uint32_t minCopyTokens = 500;
+    /// A copy from an engine that is only presumed to hold the parts is tried for no fewer tokens than this:
+    /// their prefill takes well longer than a copy of nothing.
+    static constexpr std::uint32_t minPresumedTokens = 2000;
     /// Updates kept for the next heartbeat: the number of requests with shared parts that a busy node sends
     /// between two heartbeats.
     static constexpr std::size_t maxUpdates = 24;
@@ -155,11 +169,19 @@
     /// of their ranking that is within the bound. Null when a holder is known.
     static const server_candidate* presumedHolder(
         const std::vector<engine_view>& views, const placement_query& query);
+    /// Whether other nodes, which may not know what this one knows, look for the shared parts elsewhere: at
+    /// the first engine of their ranking, be it out of use for the moment.
+    static bool isUnexpected(const utils::server_id& server, const std::vector<server_candidate>& candidates,
+        std::span<const prompt_part> parts);
     /// Marks the engines within the bound, and gives highly loaded engines the largest penalty of all.
     static void boundEngines(std::vector<engine_view>& views, double mean);
+    /// Returns the candidate that comes first in a ranking, whatever its weight; null if there is none.
+    static const server_candidate* firstOfRanking(
+        const std::vector<server_candidate>& candidates, std::uint64_t key);
     static double costOf(const engine_view& view, const placement_query& query, double heldTokens);
     std::uint32_t heldTokens(const server_candidate& server, std::span<const prompt_part> parts) const;
-    void addUpdate(const server_candidate& server, std::span<const prompt_part> parts, bool isWithdrawn);
+    void addUpdate(const server_candidate& server, std::span<const prompt_part> parts, bool isWithdrawn,
+        bool isUnexpected);
     prefix_index& prefixesOf(
         const utils::server_id& server, std::uint64_t startedAtMs, std::uint64_t cacheTokens);
 
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -30,7 +30,8 @@
     m_unreadTokens = unreadTokens;
     m_context.loads.started(m_server, m_unreadTokens);
     m_candidate = { m_server, server.dataCentre, server.slots, 1, m_plan.cacheTokens, server.startedAtMs, 0 };
-    m_context.choice.recordSent(m_candidate, m_plan.parts);
+    m_isUnexpected = placement.isUnexpected;
+    m_context.choice.recordSent(m_candidate, m_plan.parts, m_isUnexpected);
     m_context.runningRequests[m_number] = { m_server, server.startedAtMs, m_plan.digest };
     m_context.silence.requestSent(
         m_server, m_number, m_serverSilence, times.forecast(unreadTokens).latest(), now);
@@ -64,7 +65,7 @@
 void attempt_tracker::end(attempt_outcome outcome, int status, utils::time_point now)
 {
     if (m_isPromptPending)
-        m_context.choice.recordWithdrawn(m_candidate, m_plan.parts, m_heldTokens);
+        m_context.choice.recordWithdrawn(m_candidate, m_plan.parts, m_heldTokens, m_isUnexpected);
     prefillDone();
     m_context.loads.finished(m_server);
     m_context.silence.requestEnded(m_server, m_number);
--- a/src/libs/gateway/attempttracker.h
+++ b/src/libs/gateway/attempttracker.h
@@ -59,6 +59,7 @@
     bool m_isPromptPending = false;
     std::uint32_t m_heldTokens = 0; ///< prompt tokens expected in the KV cache of the server before sending
     decisions::server_candidate m_candidate;
+    bool m_isUnexpected = false; ///< the engine is not where other nodes look for the parts
 };
 
 } // namespace gateway
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -240,8 +240,12 @@
                 heartbeat.shares.push_back({ server.str(), share });
         }
         heartbeat.strikes = m_context.poison.strikes(present, strikesPerHeartbeat);
-        for (decisions::placement_update& note : m_context.choice.takeUpdates())
+        std::vector<reported_placement> unexpected;
+        for (decisions::placement_update& note : m_context.choice.takeUpdates()) {
+            if (note.isUnexpected)
+                unexpected.push_back({ note });
             heartbeat.placements.push_back({ std::move(note) });
+        }
         for (decisions::failure_update& note : m_context.failures.takeUpdates()) {
             if (heartbeat.failures.size() < peer_heartbeat::maxEntries)
                 heartbeat.failures.push_back({ std::move(note) });
@@ -251,8 +255,12 @@
         const std::vector<std::string> targets = m_peers.targets();
         sendTo(targets, heartbeat);
         // Over a slow link, full heartbeats to a large fleet would displace the callers' traffic.
-        if (heartbeat.followsStore)
-            sendTo(m_peers.addressesExcept(targets), heartbeat.withoutLists());
+        peer_heartbeat brief = heartbeat.withoutLists();
+        // All nodes look for a part at the first engine of its ranking; only where it is not has to be told
+        // to all.
+        brief.placements = std::move(unexpected);
+        if (brief.followsStore || !brief.placements.empty())
+            sendTo(m_peers.addressesExcept(targets), brief);
     }
 
     void sendTo(const std::vector<std::string>& addresses, const peer_heartbeat& heartbeat)
@@ -272,6 +280,8 @@
             return;
         if (!heartbeat.omitsLists)
             applyLists(heartbeat, present);
+        for (const reported_placement& reported : heartbeat.placements)
+            m_context.learnPlacement(reported.note);
         m_viewUpdater.onHeartbeat(heartbeat, present);
     }
 
@@ -282,8 +292,6 @@
             shares[utils::server_id(reported.server)] = reported.share;
         m_context.loads.updatePeer(utils::node_id(heartbeat.node), shares, present);
         m_context.poison.merge(heartbeat.strikes, present);
-        for (const reported_placement& reported : heartbeat.placements)
-            m_context.learnPlacement(reported.note);
         for (const reported_failures& reported : heartbeat.failures)
             m_context.failures.applyUpdate(reported.note, present);
     }
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -229,9 +229,12 @@
             && isAllowedIn(plan, context.options, server->dataCentre))
             holders.push_back(candidateOf(*server, plan, 1));
     }
-    const auto source = context.choice.sourceFor(candidateOf(chosen, plan, 1), holders, plan.parts);
-    const catalogue::backend_server* server = source ? context.servers.find(source->server) : nullptr;
-    return server == nullptr ? copy_source() : copy_source { server, source->tokens };
+    const decisions::server_candidate candidate = candidateOf(chosen, plan, 1);
+    const auto source = context.choice.sourceFor(candidate, holders, plan.parts);
+    const std::uint32_t tokens = source ? source->tokens : 0;
+    if (const auto presumed = context.choice.presumedSourceFor(candidate, holders, plan.parts, tokens))
+        return { context.servers.find(*presumed), 0 };
+    return source ? copy_source { context.servers.find(source->server), tokens } : copy_source();
 }
 
 int queueUrgency(const request_plan& plan)
--- a/tests/auto/decisions/tst_serverchoice.cpp
+++ b/tests/auto/decisions/tst_serverchoice.cpp
@@ -164,6 +164,64 @@
     BOOST_TEST(!choice.sourceFor(candidates[0], candidates, small).has_value());
 }
 
+// All nodes look for a part at the first engine of its ranking. Guards against a part that went elsewhere,
+// since that engine was overloaded or out of use, and is read again by all nodes that were not told.
+BOOST_AUTO_TEST_CASE(a_part_that_is_not_where_nodes_look_is_marked_for_all)
+{
+    auto candidates = engines(9);
+    const auto parts = promptAbout(5, 1);
+    const server_loads loads;
+    server_choice choice;
+    const auto expected = choice.choose(candidates, queryFor(parts, 1), loads, at(0s));
+    BOOST_TEST(!expected->isUnexpected);
+    choice.recordSent(candidates[0], parts, false);
+    BOOST_TEST(!choice.takeUpdates().front().isUnexpected);
+    const auto first = std::ranges::find(candidates, expected->server, &server_candidate::id);
+    first->weight = 0;
+    server_choice other;
+    const auto elsewhere = other.choose(candidates, queryFor(parts, 1), loads, at(0s));
+    BOOST_TEST(elsewhere->isUnexpected);
+    other.recordSent(*std::ranges::find(candidates, elsewhere->server, &server_candidate::id), parts, true);
+    const auto updates = other.takeUpdates();
+    BOOST_REQUIRE(updates.size() == 1u);
+    BOOST_TEST(updates.front().isUnexpected);
+    // A node that was told finds the part, although the first engine is back.
+    first->weight = 1;
+    server_choice told;
+    told.applyUpdate(updates.front(), first->cacheTokens);
+    BOOST_TEST(told.choose(candidates, queryFor(parts, 2), loads, at(1s))->server == elsewhere->server);
+    // Reading a few tokens again costs less than telling all nodes.
+    first->weight = 0;
+    for (std::uint64_t id = 10; id < 30; ++id) {
+        const std::vector<prompt_part> few { { id, server_choice::minPresumedTokens - 1 }, { 8, 100 } };
+        BOOST_TEST(!choice.choose(candidates, queryFor(few, id), loads, at(0s))->isUnexpected);
+    }
+}
+
+// Nothing is known of a part and its first engine is overloaded. Guards against reading it again where the
+// first engine holds it, sent there by nodes that were not heard.
+BOOST_AUTO_TEST_CASE(an_engine_copies_from_where_nodes_look)
+{
+    auto candidates = engines(9);
+    const auto parts = promptAbout(5, 1);
+    const server_loads loads;
+    server_choice choice;
+    const server_id first = choice.choose(candidates, queryFor(parts, 1), loads, at(0s))->server;
+    const auto isFirst = [&first](const server_candidate& candidate) { return candidate.id == first; };
+    const server_candidate other = *std::ranges::find_if_not(candidates, isFirst);
+    BOOST_TEST(choice.presumedSourceFor(other, candidates, parts, 0).value() == first);
+    BOOST_TEST(!choice.presumedSourceFor(*std::ranges::find_if(candidates, isFirst), candidates, parts, 0));
+    // Another engine is known to hold most of it.
+    BOOST_TEST(!choice.presumedSourceFor(other, candidates, parts, 9000));
+    BOOST_TEST(choice.presumedSourceFor(other, candidates, parts, 500).has_value());
+    const std::vector<prompt_part> small { { 5, server_choice::minPresumedTokens - 1 }, { 8, 100 } };
+    BOOST_TEST(!choice.presumedSourceFor(other, candidates, small, 0));
+    choice.recordSent(other, parts);
+    BOOST_TEST(!choice.presumedSourceFor(other, candidates, parts, 0));
+    std::ranges::find_if(candidates, isFirst)->weight = 0;
+    BOOST_TEST(!server_choice().presumedSourceFor(other, candidates, parts, 0));
+}
+
 // Thirty documents over seven nodes, while engines are added. A new engine is first in some documents'
 // rankings: nodes that know only their own requests send a document there while others stay with the engine
 // that holds it, so both prefill it. Nodes that exchange placement updates stay with one engine.
--- a/tests/auto/gateway/tst_peers.cpp
+++ b/tests/auto/gateway/tst_peers.cpp
@@ -266,6 +266,18 @@
     BOOST_TEST(read->shares.empty());
 }
 
+// What all nodes need to know of placements goes with the short heartbeat, whose other lists mean nothing.
+BOOST_AUTO_TEST_CASE(a_heartbeat_without_lists_carries_placements)
+{
+    peer_heartbeat brief = heartbeatFrom("2", 7, 9).withoutLists();
+    brief.placements.push_back({ { "i-7f3a91c2", 11, { { 5, 600 }, { 6, 9000 } } } });
+    const auto read = gateway::decodeHeartbeat(gateway::encodeHeartbeat(brief));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->omitsLists);
+    BOOST_REQUIRE(read->placements.size() == 1u);
+    BOOST_TEST(read->placements.front().note.parts.size() == 2u);
+}
+
 // Nodes rely on followers, so a follower reaches every node and not just a sample.
 BOOST_AUTO_TEST_CASE(a_follower_sends_to_all_addresses)
 {
