Changes of the store are gathered for 300 ms

Each change woke eight watches. The delay stays a tenth of the time in which a configuration must be in force.

--- a/src/libs/gateway/storewatcher.h
+++ b/src/libs/gateway/storewatcher.h
@@ -31,7 +31,7 @@
     utils::duration watchTimeout = std::chrono::milliseconds(2000);
     /// Pause between a change and the next watch: changes come in bursts, and each answer has a cost. About a
     /// tenth of the time in which a change must be in force.
-    utils::duration batchDelay = std::chrono::milliseconds(150);
+    utils::duration batchDelay = std::chrono::milliseconds(300);
     /// How often mayCall() is queried without wake() while calls are not allowed.
     utils::duration idleCheckInterval = std::chrono::seconds(1);
 };
