--- a/src/libs/catalogue/serverdirectory.h
+++ b/src/libs/catalogue/serverdirectory.h
@@ -56,6 +56,7 @@
 
     /// Whether the server may get new requests; check it right before sending.
     bool isUsable(const utils::server_id& id) const;
+    /// Whether the servers of the data centre get no new requests by order of the operators.
     bool isEvacuated(const std::string& dataCentre) const { return m_evacuated.contains(dataCentre); }
     /// Returns the data centres that are evacuated, ordered by name.
     const std::set<std::string>& evacuated() const { return m_evacuated; }
