Connections to backend servers that fail are logged with their cause, and a node tells when it reaches none

Adds connect errors to attempt_failed, the events service_cut_off and service_reached, and metrics. No request is routed by them.

--- /dev/null
+++ b/src/libs/decisions/serverreachability.cpp
@@ -0,0 +1,93 @@
+#include "serverreachability.h"
+
+#include <algorithm>
+
+namespace decisions {
+
+std::size_t server_reachability::decisiveServers(std::size_t servers)
+{
+    // Of many servers two may be down at once.
+    constexpr std::size_t largeService = 4;
+    constexpr std::size_t ofLarge = 3;
+    constexpr std::size_t ofSmall = 2;
+    return servers >= largeService ? ofLarge : std::clamp<std::size_t>(servers, 1, ofSmall);
+}
+
+bool server_reachability::connected(
+    const std::string& service, const utils::server_id& server, std::size_t servers, utils::time_point)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return false;
+    service_state& state = found->second;
+    state.failedAt.clear();
+    if (!state.isCutOff)
+        return false;
+    state.accepted.insert(server);
+    if (state.accepted.size() < decisiveServers(servers))
+        return false;
+    state.isCutOff = false;
+    state.accepted.clear();
+    return true;
+}
+
+bool server_reachability::failed(
+    const std::string& service, const utils::server_id& server, std::size_t servers, utils::time_point now)
+{
+    service_state& state = m_services[service];
+    state.accepted.clear();
+    std::erase_if(state.failedAt, [now](const auto& entry) { return now - entry.second > evidenceLifetime; });
+    state.failedAt[server] = now;
+    if (state.isCutOff || state.failedAt.size() < decisiveServers(servers))
+        return false;
+    state.isCutOff = true;
+    return true;
+}
+
+bool server_reachability::isCutOff(const std::string& service) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.isCutOff;
+}
+
+std::vector<std::string> server_reachability::cutOffServices() const
+{
+    std::vector<std::string> services;
+    for (const auto& [service, state] : m_services) {
+        if (state.isCutOff)
+            services.push_back(service);
+    }
+    return services;
+}
+
+void server_reachability::suspected(const std::string& service, const utils::server_id& server)
+{
+    m_services[service].suspects.insert(server);
+}
+
+std::vector<utils::server_id> server_reachability::nextProbes(
+    const std::string& service, std::span<const utils::server_id> servers, utils::time_point now)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || servers.empty())
+        return {};
+    service_state& state = found->second;
+    const bool isInDoubt = state.isCutOff || std::ranges::any_of(state.failedAt, [now](const auto& entry) {
+        return now - entry.second <= evidenceLifetime;
+    });
+    if ((!isInDoubt && state.suspects.empty()) || now - state.probedAt < probeInterval)
+        return {};
+    state.probedAt = now;
+    std::vector<utils::server_id> probes(state.suspects.begin(), state.suspects.end());
+    state.suspects.clear();
+    for (std::size_t i = 0;
+         isInDoubt && i < servers.size() && probes.size() < decisiveServers(servers.size()); ++i) {
+        const utils::server_id& server = servers[state.nextProbe++ % servers.size()];
+        const bool isKnown = !state.isCutOff && state.failedAt.contains(server);
+        if (!isKnown && std::ranges::find(probes, server) == probes.end())
+            probes.push_back(server);
+    }
+    return probes;
+}
+
+} // namespace decisions
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -102,6 +102,7 @@
         gauges.serversKnown = static_cast<double>(m_context.servers.size());
         gauges.serversUsable = static_cast<double>(m_context.servers.usableCount());
         gauges.evacuatedDataCentres = static_cast<double>(m_context.servers.evacuated().size());
+        gauges.servicesCutOff = static_cast<double>(m_context.reachability.cutOffServices().size());
         gauges.peers = static_cast<double>(m_peers.livePeers(present).size());
         gauges.fleetNodes = m_context.fleetSize.nodes();
         gauges.requestsInProgress = static_cast<double>(m_context.requestsInProgress);
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -2,6 +2,8 @@
 
 #include "clock.h"
 
+#include "utils/eventlog.h"
+
 #include <algorithm>
 
 namespace gateway {
@@ -119,6 +121,25 @@
     return viewLag.behindFor(present) > std::min(options.drainTime, options.evacuationTime) / 2;
 }
 
+void node_context::recordConnect(
+    const utils::server_id& server, const std::string& error, utils::time_point present)
+{
+    const catalogue::backend_server* entry = servers.find(server);
+    if (entry == nullptr)
+        return;
+    const std::string& service = entry->service;
+    const std::size_t usable = servers.usable(service).size();
+    metrics.countConnect(service, error.empty());
+    const bool isChanged = error.empty() ? reachability.connected(service, server, usable, present)
+                                         : reachability.failed(service, server, usable, present);
+    if (!isChanged)
+        return;
+    const utils::event id = error.empty() ? utils::event::ServiceReached : utils::event::ServiceCutOff;
+    utils::logEvent(id,
+        { { "service", service }, { "server", server.str() }, { "usable", std::to_string(usable) },
+            { "connect", error.empty() ? "accepted" : error } });
+}
+
 void node_context::updateHealth()
 {
     if (!configuration)
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -18,6 +18,7 @@
 #include "decisions/serverchoice.h"
 #include "decisions/serverhealth.h"
 #include "decisions/serverload.h"
+#include "decisions/serverreachability.h"
 #include "decisions/servicewindow.h"
 #include "decisions/silencedetector.h"
 #include "decisions/viewlag.h"
@@ -50,6 +51,7 @@
     decisions::server_loads loads;
     decisions::server_choice choice;
     decisions::server_health health;
+    decisions::server_reachability reachability; ///< from the connections of this node
     decisions::cold_start_limiter coldStarts;
     decisions::recent_failures failures;
     decisions::silence_detector silence;
@@ -86,6 +88,8 @@
     /// Whether the view of the backend servers is too old to send requests: peers have had newer revisions
     /// for so long that servers may have left since.
     bool isViewTooOld(utils::time_point present) const;
+    /// Records the result of opening a connection to a backend server; `error` is empty if it was accepted.
+    void recordConnect(const utils::server_id& server, const std::string& error, utils::time_point present);
     /// Updates the health tracking to the current directory of backend servers.
     void updateHealth();
 };
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -55,6 +55,8 @@
         = counters("lycheefront_repeats_total", "Attempts that were repeats at the service");
     counter_family& coldRequests
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
+    counter_family& connects = counters(
+        "lycheefront_server_connects_total", "Connections opened to backend servers, by service and end");
     counter_family& storeCalls
         = counters("lycheefront_store_calls_total", "Calls to the store, by kind and end");
     counter_family& heartbeats = counters("lycheefront_peer_beats_total", "Beats sent and received");
@@ -76,6 +78,8 @@
     prometheus::Gauge& known = gauge("lycheefront_servers_known", "Backend servers with an entry");
     prometheus::Gauge& evacuated
         = gauge("lycheefront_data_centres_evacuated", "Data centres whose backend servers get no requests");
+    prometheus::Gauge& cutOff
+        = gauge("lycheefront_services_cut_off", "Services whose backend servers this node cannot connect to");
     prometheus::Gauge& peers = gauge("lycheefront_peers", "Other nodes heard lately");
     prometheus::Gauge& fleetNodes = gauge(
         "lycheefront_fleet_nodes", "Nodes that share the fleet's bounds, this one included; 0 while unknown");
@@ -123,6 +127,12 @@
     d->coldRequests.Add({ { "service", str(service) } }).Increment();
 }
 
+void node_metrics::countConnect(std::string_view service, bool isAccepted)
+{
+    d->connects.Add({ { "service", str(service) }, { "end", isAccepted ? "accepted" : "failed" } })
+        .Increment();
+}
+
 void node_metrics::countStoreCall(store_call call, store_status status)
 {
     d->storeCalls.Add({ { "call", str(toString(call)) }, { "end", str(toString(status)) } }).Increment();
@@ -151,6 +161,7 @@
     d->usable.Set(gauges.serversUsable);
     d->known.Set(gauges.serversKnown);
     d->evacuated.Set(gauges.evacuatedDataCentres);
+    d->cutOff.Set(gauges.servicesCutOff);
     d->peers.Set(gauges.peers);
     d->fleetNodes.Set(gauges.fleetNodes);
     d->inProgress.Set(gauges.requestsInProgress);
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -22,6 +22,7 @@
     double serversUsable = 0;
     double serversKnown = 0;
     double evacuatedDataCentres = 0;
+    double servicesCutOff = 0; ///< services whose backend servers this node cannot connect to
     double peers = 0;
     double fleetNodes = 0; ///< that share the fleet's bounds; 0: not known yet
     double requestsInProgress = 0;
@@ -52,6 +53,8 @@
     void countAttempt(std::string_view service, attempt_outcome end, bool isRetry);
     /// Counts a request that is sent to a cold backend server.
     void countColdRequest(std::string_view service);
+    /// Counts a connection to a backend server that was accepted or not.
+    void countConnect(std::string_view service, bool isAccepted);
     void countStoreCall(store_call call, store_status status);
     void countHeartbeat(bool isSent);
     void countViewFetch(std::string_view end);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <set>
+#include <utility>
 
 namespace gateway {
 
@@ -85,7 +86,7 @@
 
     failed_attempt describeFailure(utils::time_point startedAt)
     {
-        failed_attempt attempt { m_result.server, m_result.lastOutcome };
+        failed_attempt attempt { m_result.server, m_result.lastOutcome, std::exchange(m_connectError, {}) };
         attempt.took = now() - startedAt;
         if (m_record.isSent(m_result.lastOutcome))
             attempt.silentFor = m_tracker.silentFor(now());
@@ -158,16 +159,19 @@
         const error_code error = co_await connection->connect(*endpoint);
         if (!error) {
             m_scope->setConnection(connection); // ends the connect timeout
+            m_context.recordConnect(server, {}, now());
             co_return connection;
         }
         if (m_scope->reason() == stop_reason::None)
-            recordUnreachable(server);
+            recordUnreachable(server, m_scope->hasTimedOut() ? "timed out" : error.message());
         m_scope->setConnection(nullptr);
         co_return nullptr;
     }
 
-    void recordUnreachable(const utils::server_id& server)
+    void recordUnreachable(const utils::server_id& server, const std::string& error)
     {
+        m_connectError = error;
+        m_context.recordConnect(server, error, now());
         m_context.health.unreachable(server, now());
         m_context.coldStarts.recordUnreachable(server, now());
     }
@@ -262,6 +266,7 @@
     attempt_tracker m_tracker;
     std::set<utils::server_id> m_triedServers;
     flow_result m_result;
+    std::string m_connectError; ///< why the last connection was not opened; empty if it was
     response_relay<Wire> m_relay;
 };
 
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -81,13 +81,15 @@
 
 void logFailedAttempt(const client_request& request, const failed_attempt& attempt)
 {
-    utils::logEvent(utils::event::AttemptFailed,
-        { { "request", request.requestId }, { "server", attempt.server.str() },
-            { "end", std::string(toString(attempt.outcome)) }, { "ms", millisecondsText(attempt.took) },
-            { "silent_ms", millisecondsText(attempt.silentFor) },
-            { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) },
-            { "view_age_ms", millisecondsText(attempt.viewAge) },
-            { "view_behind_ms", millisecondsText(attempt.viewBehind) } });
+    std::vector<utils::log_field> fields { { "request", request.requestId },
+        { "server", attempt.server.str() }, { "end", std::string(toString(attempt.outcome)) },
+        { "ms", millisecondsText(attempt.took) }, { "silent_ms", millisecondsText(attempt.silentFor) },
+        { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) },
+        { "view_age_ms", millisecondsText(attempt.viewAge) },
+        { "view_behind_ms", millisecondsText(attempt.viewBehind) } };
+    if (!attempt.connectError.empty())
+        fields.push_back({ "connect", attempt.connectError });
+    utils::logEvent(utils::event::AttemptFailed, fields);
 }
 
 void logRejected(const utils::failure& failure)
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -14,6 +14,7 @@
 struct failed_attempt {
     utils::server_id server;
     attempt_outcome outcome = attempt_outcome::NotSent;
+    std::string connectError; ///< why no connection was opened; empty if one was
     utils::duration took {};
     utils::duration silentFor {}; ///< since data of the response arrived, or since the request was sent
     double repeatsLeft = 0; ///< left in the service's budget on this node
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -48,6 +48,10 @@
     event_info { event::ServerFailure, Warning, "server_failure", "A backend server failed a request" },
     event_info {
         event::ServerCrashed, Warning, "server_crashed", "A backend server crashed with requests in flight" },
+    event_info { event::ServiceCutOff, Warning, "service_cut_off",
+        "This node cannot connect to the backend servers of a service" },
+    event_info { event::ServiceReached, Info, "service_reached",
+        "This node connects to the backend servers of a service again" },
     event_info { event::PlatformFailure, Warning, "platform_failure", "A call to the platform failed" },
     event_info { event::StoreLost, Warning, "store_lost", "The platform's store does not answer" },
     event_info { event::StoreRegained, Info, "store_regained", "The platform's store answers again" },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -42,6 +42,8 @@
     AttemptFailed = 4003,
     ServerFailure = 6001,
     ServerCrashed = 6002,
+    ServiceCutOff = 6003,
+    ServiceReached = 6004,
     PlatformFailure = 7001,
     StoreLost = 7002,
     StoreRegained = 7003,
