--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -103,7 +103,7 @@
     m_store.remove("servers/" + replica.id());
 }
 
-gateway_node& gateway_testbed::startNode(store_mode mode)
+gateway_node& gateway_testbed::startNode(store_mode mode, std::map<std::string, std::string> substitutions)
 {
     auto node = std::make_unique<gateway_node>();
     const std::string number = std::to_string(m_nodes.size() + 1);
@@ -111,6 +111,7 @@
     node->address = nodeAddress(m_nodes.size());
     node->storePort = m_store.listen();
     m_store.setMode(node->storePort, mode);
+    m_store.setSubstitutions(node->storePort, std::move(substitutions));
     node->callerPort = freePort(node->address);
     node->readinessPort = freePort(node->address);
     node->metricsPort = freePort(node->address);
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -7,6 +7,7 @@
 #include "processtools/waituntil.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -64,8 +65,10 @@
     void announce(const platform_standin::replica_standin& replica, const std::string& service,
         const replica_entry& entry);
     void withdraw(const platform_standin::replica_standin& replica);
-    /// Starts a node, with the nodes started before as its seeds.
-    gateway_node& startNode(platform_standin::store_mode mode = platform_standin::store_mode::Serve);
+    /// Starts a node, with the nodes started before as its seeds. `substitutions`: texts that the store tells
+    /// this node otherwise than the others, by the text that it tells those.
+    gateway_node& startNode(platform_standin::store_mode mode = platform_standin::store_mode::Serve,
+        std::map<std::string, std::string> substitutions = {});
     /// Starts the process of a node again after it has ended.
     void restartNode(gateway_node& node) const;
     gateway_node& node(std::size_t index) { return *m_nodes.at(index); }
--- /dev/null
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -0,0 +1,138 @@
+#include "gatewaytestbed.h"
+
+#include "platformstandin/faultproxy.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+using platform_standin::eventsUpTo;
+using platform_standin::fault_proxy;
+using platform_standin::link_state;
+
+namespace {
+
+constexpr std::size_t replicas = 3; ///< of each service
+constexpr unsigned events = 20; ///< of a stream
+constexpr unsigned rounds = 12;
+
+/// Three nodes; the first one reaches the replicas by proxies of its own.
+class cut_testbed : public gateway_testbed {
+public:
+    cut_testbed()
+        : gateway_testbed(replicas)
+    {
+        configure(1);
+        std::map<std::string, std::string> substitutions;
+        for (std::size_t i = 0; i < replicas; ++i) {
+            addProxy(press(i), substitutions);
+            addProxy(engine(i), substitutions);
+            engine(i).setEvents(events, 0);
+        }
+        startNode(platform_standin::store_mode::Serve, std::move(substitutions));
+        startNode();
+        startNode();
+        for (std::size_t i = 0; i < nodeCount(); ++i)
+            awaitReady(node(i));
+    }
+    ~cut_testbed() { m_proxyThread.stop(); }
+    cut_testbed(const cut_testbed&) = delete;
+    cut_testbed& operator=(const cut_testbed&) = delete;
+
+    /// Sets the state of all paths from the first node to the replicas.
+    void setPaths(link_state state)
+    {
+        for (const auto& proxy : m_proxies)
+            proxy->set(state);
+    }
+    /// Whether a call of each kind is served at the first node.
+    bool servesEachKind()
+    {
+        const http_reply chat = ask(node(0), question("POST", "/chat/1", "hi"));
+        return isServed(question("GET", "/look/1")) && isServed(question("POST", "/pay/1", "5"))
+            && chat.status == 200 && chat.isWhole && chat.body == eventsUpTo(events);
+    }
+    /// Rounds of calls at the first node in which not all were served.
+    unsigned failedRounds()
+    {
+        unsigned failed = 0;
+        for (unsigned i = 0; i < rounds; ++i)
+            failed += servesEachKind() ? 0 : 1;
+        return failed;
+    }
+    bool isServed(const http_question& question)
+    {
+        const http_reply reply = ask(node(0), question);
+        return reply.status == 200 && reply.isWhole;
+    }
+    /// Whether a payment has reached more than one replica.
+    bool hasRepeatedPayment()
+    {
+        std::map<std::string, unsigned> runs;
+        for (std::size_t i = 0; i < replicas; ++i) {
+            for (const auto& request : press(i).requests()) {
+                if (request.target.starts_with("/pay/"))
+                    ++runs[request.id];
+            }
+        }
+        return std::ranges::any_of(runs, [](const auto& entry) { return entry.second > 1; });
+    }
+
+private:
+    void addProxy(const platform_standin::replica_standin& replica, std::map<std::string, std::string>& texts)
+    {
+        m_proxies.push_back(std::make_unique<fault_proxy>(m_proxyThread, replica.port()));
+        texts[replica.address()] = m_proxies.back()->address();
+    }
+
+    platform_standin::standin_thread m_proxyThread;
+    std::vector<std::unique_ptr<fault_proxy>> m_proxies;
+};
+
+/// Cuts the first node off, by these states one after the other, and requires that its callers are served
+/// like all others once it has found out.
+void checkCut(cut_testbed& world, const std::vector<link_state>& states)
+{
+    BOOST_REQUIRE(world.failedRounds() == 0u);
+    for (const link_state state : states)
+        world.setPaths(state);
+    // The calls during which the node finds out may fail.
+    BOOST_REQUIRE(waitUntil([&] { return world.servesEachKind(); }));
+    BOOST_TEST(world.failedRounds() == 0u);
+    BOOST_TEST(!world.hasRepeatedPayment());
+    world.setPaths(link_state::Open);
+    BOOST_TEST(waitUntil([&] {
+        world.servesEachKind();
+        return world.node(0).process->log().find("service_reached") != std::string::npos;
+    }));
+    BOOST_TEST(world.failedRounds() == 0u);
+    BOOST_TEST(!world.hasRepeatedPayment());
+}
+
+} // namespace
+
+// A node loses its paths to all backend servers, while callers, the store and its peers still reach it.
+BOOST_AUTO_TEST_SUITE(cut_off_nodes)
+
+// Guards against refusing the callers of a node whose connections to all backend servers went silent.
+BOOST_FIXTURE_TEST_CASE(callers_are_served_while_connections_to_all_servers_are_silent, cut_testbed)
+{
+    checkCut(*this, { link_state::Lost });
+}
+
+// Guards against refusing the callers of a node whose new connections to all backend servers hang.
+BOOST_FIXTURE_TEST_CASE(callers_are_served_while_connections_to_all_servers_hang, cut_testbed)
+{
+    checkCut(*this, { link_state::Refusing, link_state::Lost });
+}
+
+// Guards against refusing the callers of a node whose connections to all backend servers are refused.
+BOOST_FIXTURE_TEST_CASE(callers_are_served_while_connections_to_all_servers_are_refused, cut_testbed)
+{
+    checkCut(*this, { link_state::Refusing, link_state::ClosedToNew });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/processes/spawnedprocess.cpp
+++ b/tests/auto/processes/spawnedprocess.cpp
@@ -33,6 +33,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, m_logFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // An inherited socket of a stand-in would stay open when the stand-in closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "faultproxy.h"
 #include "soakcaller.h"
 #include "soakcheck.h"
 #include "soakplan.h"
 
 #include "gatewaytestbed/gatewaytestbed.h"
+#include "platformstandin/faultproxy.h"
 
 #include <functional>
 #include <memory>
@@ -42,7 +42,7 @@
     };
 
     unsigned short routed(unsigned short port);
-    fault_proxy& proxyOf(unsigned short port) { return *m_proxies.at(port); }
+    platform_standin::fault_proxy& proxyOf(unsigned short port) { return *m_proxies.at(port); }
     void begin(const planned_fault& fault);
     void beginOnNode(const planned_fault& fault, std::size_t node);
     void beginOnStore(const planned_fault& fault, std::size_t node);
@@ -60,7 +60,8 @@
     void collect();
 
     platform_standin::standin_thread m_proxyThread;
-    std::map<unsigned short, std::unique_ptr<fault_proxy>> m_proxies; ///< by the port behind them
+    std::map<unsigned short, std::unique_ptr<platform_standin::fault_proxy>>
+        m_proxies; ///< by the port behind them
     soak_size m_size;
     std::uint64_t m_seed;
     std::vector<planned_fault> m_plan;
--- a/tests/soak/faultproxy.cpp
+++ b/tests/standins/platform/faultproxy.cpp
@@ -11,7 +11,7 @@
 
 #include <array>
 
-namespace soak {
+namespace platform_standin {
 
 namespace {
 
@@ -21,34 +21,70 @@
 // Longer than a node waits before it tries elsewhere, shorter than callers wait.
 constexpr auto slowBy = std::chrono::milliseconds(300);
 constexpr std::size_t pieceSize = 16384;
+constexpr int fillers = 3; // more than a listener with an empty queue takes
 
 } // namespace
 
-fault_proxy::fault_proxy(platform_standin::standin_thread& thread, unsigned short target)
+fault_proxy::fault_proxy(standin_thread& thread, unsigned short target)
     : m_thread(thread)
     , m_target(target)
 {
-    tcp::acceptor acceptor(m_thread.io(), { asio::ip::address_v4::loopback(), 0 });
-    m_port = acceptor.local_endpoint().port();
-    asio::co_spawn(m_thread.io(), acceptAll(std::move(acceptor)), asio::detached);
+    const auto acceptor
+        = std::make_shared<tcp::acceptor>(m_thread.io(), tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    m_port = acceptor->local_endpoint().port();
+    m_acceptor = acceptor;
+    asio::co_spawn(m_thread.io(), acceptAll(acceptor), asio::detached);
 }
 
 void fault_proxy::set(link_state state)
 {
     m_state = state;
-    if (state != link_state::Refusing)
-        return;
-    asio::post(m_thread.io(), [this] {
+    asio::post(m_thread.io(), [this, state] {
+        listenAs(state);
+        if (state != link_state::Refusing)
+            return;
         for (const auto& each : m_links)
             reset(*each);
     });
 }
 
-asio::awaitable<void> fault_proxy::acceptAll(tcp::acceptor acceptor)
+void fault_proxy::listenAs(link_state state)
 {
-    while (true) {
+    if (m_acceptor && m_fillers.empty() && state != link_state::ClosedToNew && state != link_state::Lost)
+        return;
+    boost::system::error_code ignored; // it may be closed already
+    if (m_acceptor)
+        m_acceptor->close(ignored);
+    m_acceptor.reset();
+    m_fillers.clear();
+    if (state == link_state::ClosedToNew)
+        return;
+    m_acceptor = std::make_shared<tcp::acceptor>(m_thread.io());
+    m_acceptor->open(tcp::v4());
+    m_acceptor->set_option(asio::socket_base::reuse_address(true));
+    m_acceptor->bind({ asio::ip::address_v4::loopback(), m_port });
+    if (state == link_state::Lost)
+        return blockListener();
+    m_acceptor->listen();
+    asio::co_spawn(m_thread.io(), acceptAll(m_acceptor), asio::detached);
+}
+
+void fault_proxy::blockListener()
+{
+    m_acceptor->listen(0);
+    for (int i = 0; i < fillers; ++i) {
+        m_fillers.emplace_back(m_thread.io(), tcp::v4());
+        m_fillers.back().non_blocking(true);
+        boost::system::error_code ignored; // it waits, which is what it is for
+        m_fillers.back().connect({ asio::ip::address_v4::loopback(), m_port }, ignored);
+    }
+}
+
+asio::awaitable<void> fault_proxy::acceptAll(std::shared_ptr<tcp::acceptor> acceptor)
+{
+    while (acceptor->is_open()) {
         const auto accepted = std::make_shared<link>(m_thread.io());
-        const auto [error] = co_await acceptor.async_accept(accepted->caller, asTuple);
+        const auto [error] = co_await acceptor->async_accept(accepted->caller, asTuple);
         if (!error)
             asio::co_spawn(m_thread.io(), serve(accepted), asio::detached);
     }
@@ -99,6 +135,7 @@
 {
     switch (m_state.load()) {
     case link_state::Silent:
+    case link_state::Lost:
         return true;
     case link_state::CutToServer:
         return isToServer;
@@ -107,6 +144,7 @@
     case link_state::Open:
     case link_state::Slow:
     case link_state::Refusing:
+    case link_state::ClosedToNew:
         break;
     }
     return false;
@@ -121,4 +159,4 @@
     link.server.close(ignored);
 }
 
-} // namespace soak
+} // namespace platform_standin
--- a/tests/standins/platform/storestandin.cpp
+++ b/tests/standins/platform/storestandin.cpp
@@ -61,6 +61,12 @@
     m_listeners[port].mode = mode;
 }
 
+void store_standin::setSubstitutions(unsigned short port, std::map<std::string, std::string> texts)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listeners[port].substitutions = std::move(texts);
+}
+
 void store_standin::setDeaf(unsigned short port, bool isDeaf)
 {
     const std::lock_guard lock(m_mutex);
@@ -116,11 +122,11 @@
         co_return co_await standins_common::sendAnswer(socket, request, 400, std::move(body));
     const std::string prefix = parameter(*url, "pathPrefix");
     if (url->path() == "/-/kv-range") {
-        body = rangeJson(prefix);
+        body = rangeJson(port, prefix);
         co_return co_await standins_common::sendAnswer(socket, request, 200, std::move(body));
     }
     if (url->path() == "/-/kv-key") {
-        const auto read = readJson(parameter(*url, "key"));
+        const auto read = readJson(port, parameter(*url, "key"));
         body = read.value_or(body);
         co_return co_await standins_common::sendAnswer(socket, request, read ? 200 : 404, std::move(body));
     }
@@ -144,24 +150,24 @@
     }
 }
 
-std::string store_standin::rangeJson(const std::string& prefix) const
+std::string store_standin::rangeJson(unsigned short port, const std::string& prefix) const
 {
     const std::lock_guard lock(m_mutex);
     json::array items;
     for (const auto& [key, item] : m_items) {
         if (key.starts_with(prefix))
-            items.push_back(itemJson(key, item.value, item.revision));
+            items.push_back(itemJson(key, substituted(port, item.value), item.revision));
     }
     return json::serialize(json::object { { "items", items }, { "hasMore", false }, { "asOf", m_revision } });
 }
 
-std::optional<std::string> store_standin::readJson(const std::string& key) const
+std::optional<std::string> store_standin::readJson(unsigned short port, const std::string& key) const
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_items.find(key);
     if (found == m_items.end())
         return std::nullopt;
-    return json::serialize(itemJson(key, found->second.value, found->second.revision));
+    return json::serialize(itemJson(key, substituted(port, found->second.value), found->second.revision));
 }
 
 std::optional<std::string> store_standin::changesJson(
@@ -177,7 +183,7 @@
         if (change.revision <= after || !change.key.starts_with(prefix))
             continue;
         if (change.value)
-            events.push_back(itemJson(change.key, *change.value, change.revision));
+            events.push_back(itemJson(change.key, substituted(port, *change.value), change.revision));
         else
             events.push_back(
                 json::object { { "key", change.key }, { "revision", change.revision }, { "removed", true } });
@@ -187,6 +193,19 @@
     return json::serialize(json::object { { "events", events }, { "asOf", m_revision } });
 }
 
+std::string store_standin::substituted(unsigned short port, std::string value) const
+{
+    const auto listener = m_listeners.find(port);
+    if (listener == m_listeners.end())
+        return value;
+    for (const auto& [text, other] : listener->second.substitutions) {
+        const std::size_t at = value.find(text);
+        if (at != std::string::npos)
+            value.replace(at, text.size(), other);
+    }
+    return value;
+}
+
 bool store_standin::isForgotten(std::uint64_t after) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/platform/storestandin.h
+++ b/tests/standins/platform/storestandin.h
@@ -29,6 +29,9 @@
     /// A listener of its own for one node, so that nodes can be treated differently; its port.
     unsigned short listen();
     void setMode(unsigned short port, store_mode mode);
+    /// Values read on that port have other texts, by the text in the store: another address of a replica, for
+    /// one node alone.
+    void setSubstitutions(unsigned short port, std::map<std::string, std::string> texts);
     std::uint64_t put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     /// Watches from before now get 410.
@@ -51,16 +54,18 @@
         store_mode mode = store_mode::Serve;
         bool isDeaf = false;
         std::uint64_t calls = 0;
+        std::map<std::string, std::string> substitutions;
     };
 
     boost::asio::awaitable<bool> answer(
         unsigned short port, standins_common::http_request& request, standins_common::tcp_socket& socket);
-    std::string rangeJson(const std::string& prefix) const;
+    std::string rangeJson(unsigned short port, const std::string& prefix) const;
     /// Nothing if there is no such item.
-    std::optional<std::string> readJson(const std::string& key) const;
+    std::optional<std::string> readJson(unsigned short port, const std::string& key) const;
     std::optional<std::string> changesJson(
         unsigned short port, const std::string& prefix, std::uint64_t after) const;
     bool isForgotten(std::uint64_t after) const;
+    std::string substituted(unsigned short port, std::string value) const;
 
     standin_thread& m_thread;
     mutable std::mutex m_mutex;
