--- a/src/libs/decisions/recentfailures.h
+++ b/src/libs/decisions/recentfailures.h
@@ -42,6 +42,8 @@
     double countAt(const utils::server_id& server, utils::time_point now) const;
     /// Returns the pending updates for other nodes and clears them.
     std::vector<failure_update> takeUpdates();
+    /// Drops the pending updates, once their cause turns out to be this node's own.
+    void discardUpdates() { m_unsent.clear(); }
     /// Removes servers without recent failures. Call it periodically.
     void expire(utils::time_point now);
 
--- a/src/libs/decisions/serverhealth.cpp
+++ b/src/libs/decisions/serverhealth.cpp
@@ -35,6 +35,14 @@
     state.next = std::min(2 * state.next, maxBackoff);
 }
 
+void server_health::reset(const std::string& service, const std::vector<utils::server_id>& servers)
+{
+    for (const utils::server_id& server : servers)
+        m_backoffs.erase(server);
+    m_ejectors.erase(service);
+    setServers(service, servers);
+}
+
 double server_health::weight(
     const std::string& service, const utils::server_id& server, utils::time_point now) const
 {
--- a/src/libs/decisions/serverhealth.h
+++ b/src/libs/decisions/serverhealth.h
@@ -34,6 +34,8 @@
     void failed(const std::string& service, const utils::server_id& server, utils::time_point now);
     /// Records that the server could not be connected to.
     void unreachable(const utils::server_id& server, utils::time_point now);
+    /// Forgets what was recorded of the servers of a service.
+    void reset(const std::string& service, const std::vector<utils::server_id>& servers);
     /// Returns the share of its normal load that the server should get, 0 to 1.
     double weight(const std::string& service, const utils::server_id& server, utils::time_point now) const;
     /// Whether the server is left out because it could not be connected to.
--- a/src/libs/decisions/serverreachability.cpp
+++ b/src/libs/decisions/serverreachability.cpp
@@ -65,6 +65,13 @@
     m_services[service].suspects.insert(server);
 }
 
+bool server_reachability::needsProbes(const std::string& service) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end()
+        && (found->second.isCutOff || !found->second.failedAt.empty() || !found->second.suspects.empty());
+}
+
 std::vector<utils::server_id> server_reachability::nextProbes(
     const std::string& service, std::span<const utils::server_id> servers, utils::time_point now)
 {
--- a/src/libs/decisions/serverreachability.h
+++ b/src/libs/decisions/serverreachability.h
@@ -49,6 +49,8 @@
     bool isCutOff(const std::string& service) const;
     /// Returns the services that this node is cut off from, ordered by name.
     std::vector<std::string> cutOffServices() const;
+    /// Whether nextProbes() may return any server.
+    bool needsProbes(const std::string& service) const;
     /// Returns the servers to which a connection should be tried now: some while the service is cut off or a
     /// failure is recent, the suspected ones, and none if the last round is recent. Rounds take turns over
     /// all servers.
--- a/src/libs/gateway/attempt.cpp
+++ b/src/libs/gateway/attempt.cpp
@@ -1,5 +1,6 @@
 #include "attempt.h"
 
+#include <algorithm>
 #include <array>
 
 namespace gateway {
@@ -39,6 +40,19 @@
     }
 }
 
+void attempt_record::addForwarded(attempt_outcome outcome)
+{
+    add(outcome);
+    if (m_mayHaveRun > 0)
+        m_mayHaveRun = std::max(m_mayHaveRun, m_maxRuns);
+}
+
+void attempt_record::addEarlierRuns(unsigned runs)
+{
+    m_sent += runs;
+    m_mayHaveRun += runs;
+}
+
 bool attempt_record::mayRetry() const
 {
     if (m_last == Answered || m_last == Stopped || m_last == NoRepeat)
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -37,6 +37,10 @@
     }
 
     void add(attempt_outcome outcome);
+    /// Records an attempt by way of a peer, which may have used all runs that are left.
+    void addForwarded(attempt_outcome outcome);
+    /// Records attempts of the node that has forwarded the request to this one and that may have run it.
+    void addEarlierRuns(unsigned runs);
 
     /// Whether another attempt is allowed.
     bool mayRetry() const;
@@ -50,6 +54,10 @@
     /// Whether it is certain that no attempt has run.
     bool hasProvablyNotRun() const { return m_mayHaveRun == 0; }
     unsigned attempts() const { return m_attempts; }
+    /// Attempts that sent nothing.
+    unsigned unsent() const { return m_unsent; }
+    /// Attempts that may have run the request.
+    unsigned possibleRuns() const { return m_mayHaveRun; }
     /// Returns the error for the caller when no further attempt follows. Precondition: add() was called, or
     /// no attempt was made because no server was available.
     utils::error_kind finalErrorKind() const;
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -13,6 +13,7 @@
 void attempt_tracker::begin(const catalogue::backend_server& server, std::uint32_t unreadTokens,
     const decisions::placement& placement, utils::time_point now)
 {
+    m_isActive = true;
     ++m_context.sentRequests;
     m_server = server.id;
     m_sentAt = now;
@@ -40,7 +41,8 @@
 void attempt_tracker::dataReceived(utils::time_point now)
 {
     m_lastReceivedAt = now;
-    m_context.silence.dataReceived(m_server, now);
+    if (m_isActive)
+        m_context.silence.dataReceived(m_server, now);
 }
 
 void attempt_tracker::prefillDone()
@@ -55,6 +57,8 @@
 
 void attempt_tracker::firstEventReceived(utils::time_point now)
 {
+    if (!m_isActive)
+        return;
     if (m_isPromptPending && m_hasSlot)
         m_context.responseTimesOf(m_plan.service).recordFirstByte(m_tokensAhead, now - m_sentAt);
     m_firstEventAt = now;
@@ -68,12 +72,18 @@
         m_context.choice.recordWithdrawn(m_candidate, m_plan.parts, m_heldTokens, m_isUnexpected);
     prefillDone();
     m_context.loads.finished(m_server);
+    m_isActive = false;
     m_context.silence.requestEnded(m_server, m_number);
-    if (outcome == attempt_outcome::Cut)
+    if (outcome == attempt_outcome::Silent)
+        m_context.reachability.suspected(m_plan.service, m_server);
+    // The loss of this node's own path is no failure of the server.
+    const bool isServerAtFault = !m_context.reachability.isCutOff(m_plan.service);
+    if (outcome == attempt_outcome::Cut && isServerAtFault)
         recordCrash(m_context, m_server, now);
     m_context.runningRequests.erase(m_number);
-    const bool isFailure = outcome == attempt_outcome::Cut || outcome == attempt_outcome::Silent
-        || outcome == attempt_outcome::Garbled || outcome == attempt_outcome::Failed;
+    const bool isFailure = isServerAtFault
+        && (outcome == attempt_outcome::Cut || outcome == attempt_outcome::Silent
+            || outcome == attempt_outcome::Garbled || outcome == attempt_outcome::Failed);
     if (isFailure)
         m_context.health.failed(m_plan.service, m_server, now);
     if (isFailure || outcome == attempt_outcome::Answered)
--- a/src/libs/gateway/attempttracker.h
+++ b/src/libs/gateway/attempttracker.h
@@ -6,7 +6,8 @@
 namespace gateway {
 
 /// Accounts for the attempts of one request on backend servers: server loads, timeouts, server health, crash
-/// suspects and prompt placements. Each attempt runs from begin() to end(). Not thread safe.
+/// suspects and prompt placements. Each attempt runs from begin() to end(). Without begin(), as for an
+/// attempt by way of a peer, nothing is recorded. Not thread safe.
 class attempt_tracker {
 public:
     /// Precondition: `context` and `plan` outlive this object. `number` identifies the request on this node.
@@ -55,6 +56,7 @@
     std::uint32_t m_unreadTokens = 0; ///< prompt tokens to prefill, as estimated on sending
     std::uint32_t m_tokensAhead = 0; ///< prefilled by the server before the response, this prompt included
     utils::duration m_latestResponse {}; ///< longest expected wait for the response; zero once it began
+    bool m_isActive = false; ///< between begin() and end()
     bool m_hasSlot = false; ///< the server had a free slot when the request was sent
     bool m_isPromptPending = false;
     std::uint32_t m_heldTokens = 0; ///< prompt tokens expected in the KV cache of the server before sending
--- a/src/libs/gateway/clientsession.h
+++ b/src/libs/gateway/clientsession.h
@@ -16,9 +16,13 @@
 template <wire_protocol Wire>
 class client_session : public std::enable_shared_from_this<client_session<Wire>> {
 public:
-    /// Precondition: the context outlives the session.
-    client_session(node_context& context, boost::asio::ip::tcp::socket socket)
+    /// `receiver`: this process's boot id if the connection comes from a peer that forwards requests, else 0.
+    /// Precondition: context and forwarder outlive the session.
+    client_session(node_context& context, peer_forwarder& forwarder, boost::asio::ip::tcp::socket socket,
+        std::uint64_t receiver)
         : m_context(context)
+        , m_forwarder(forwarder)
+        , m_receiver(receiver)
         , m_connection(std::make_shared<caller_connection>(std::move(socket)))
     {
     }
@@ -28,8 +32,10 @@
         const auto self = this->shared_from_this();
         bool goesOn = true;
         while (goesOn) {
-            const catalogue::caller_limits limits
+            catalogue::caller_limits limits
                 = m_context.configuration ? m_context.configuration->limits : catalogue::caller_limits();
+            if (m_receiver != 0)
+                limits.headerBytes += hopHeaderBytes;
             read_outcome outcome = co_await m_connection->readRequest(limits);
             if (outcome.status == read_status::Closed)
                 break;
@@ -60,6 +66,8 @@
     boost::asio::awaitable<bool> serve(read_outcome& outcome)
     {
         client_request request = Wire::decodeRequest(outcome.request->base());
+        if (!takeHop(outcome.request->base(), request))
+            co_return false;
         if (!outcome.request->body().empty())
             request.body = std::make_shared<const std::string>(std::move(outcome.request->body()));
         // The bytes waited for this iteration of the event loop before they were read.
@@ -80,6 +88,21 @@
         co_return writer.keepsAlive();
     }
 
+    /// Reads what a peer says about a request that it forwards. Returns false if the request does not come
+    /// from a peer that knows this process.
+    bool takeHop(const boost::beast::http::request_header<>& head, client_request& request) const
+    {
+        std::erase_if(request.forwardedHeaders,
+            [](const header_line& line) { return boost::beast::iequals(line.name, forwardHopHeader); });
+        if (m_receiver == 0)
+            return true;
+        request.hop = decodeHop(head[forwardHopHeader]);
+        if (request.hop && request.hop->receiver == m_receiver)
+            return true;
+        logRejected(utils::makeFailure(utils::error_kind::MalformedRequest, "not forwarded by a peer"));
+        return false;
+    }
+
     boost::asio::awaitable<flow_result> dispatch(const client_request& request, response_writer& writer)
     {
         std::optional<utils::failure> refused;
@@ -105,7 +128,7 @@
             if (writer.isStream())
                 connection->abort();
         });
-        request_flow<Wire> flow(m_context, request, plan, scope, writer);
+        request_flow<Wire> flow(m_context, m_forwarder, request, plan, scope, writer);
         flow_result result = co_await flow.run();
         scope->finish();
         m_connection->stopWatching();
@@ -139,7 +162,11 @@
 
     static constexpr std::string_view noService = "none"; ///< label of requests that reach no service
 
+    static constexpr std::size_t hopHeaderBytes = 512; ///< room for the headers that a peer adds
+
     node_context& m_context;
+    peer_forwarder& m_forwarder;
+    std::uint64_t m_receiver;
     std::shared_ptr<caller_connection> m_connection;
 };
 
--- a/src/libs/gateway/connectionpool.cpp
+++ b/src/libs/gateway/connectionpool.cpp
@@ -38,6 +38,16 @@
     m_idle[server].push_back(std::move(connection));
 }
 
+void connection_pool::drop(const utils::server_id& server)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+        return;
+    for (const http_connection_ptr& connection : found->second)
+        connection->close();
+    m_idle.erase(found);
+}
+
 void connection_pool::expire(utils::time_point now)
 {
     for (auto& [server, connections] : m_idle) {
--- a/src/libs/gateway/connectionpool.h
+++ b/src/libs/gateway/connectionpool.h
@@ -23,6 +23,8 @@
     http_connection_ptr take(const utils::server_id& server, utils::time_point now);
     /// Returns a connection after a complete response; closes it if it cannot be reused.
     void put(const utils::server_id& server, http_connection_ptr connection, utils::time_point now);
+    /// Closes the idle connections to a server.
+    void drop(const utils::server_id& server);
     /// Closes the connections that have been idle for too long.
     void expire(utils::time_point now);
     std::size_t size() const;
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -19,6 +19,7 @@
     unsigned attempts = 0;
     utils::server_id server; ///< of the last attempt
     std::string serverDataCentre;
+    std::string forwardedTo; ///< the peer of the last attempt; empty if that was at a server
     bool isServerCold = false; ///< at the last attempt
     decisions::placement placement; ///< of the last attempt
     utils::duration viewAge {}; ///< age of the view of the backend servers at the last attempt
--- /dev/null
+++ b/src/libs/gateway/forwardhop.cpp
@@ -0,0 +1,50 @@
+#include "forwardhop.h"
+
+#include <charconv>
+
+namespace gateway {
+
+namespace {
+
+constexpr char separator = '-';
+constexpr int hexadecimal = 16;
+
+/// Takes one number and the separator behind it; nothing if there is no number.
+template <class Number> std::optional<Number> takeNumber(std::string_view& text)
+{
+    const std::string_view digits = text.substr(0, text.find(separator));
+    Number value {};
+    const auto [end, status]
+        = std::from_chars(digits.data(), digits.data() + digits.size(), value, hexadecimal);
+    if (status != std::errc() || end != digits.data() + digits.size())
+        return std::nullopt;
+    text.remove_prefix(std::min(text.size(), digits.size() + 1));
+    return value;
+}
+
+std::string hex(std::uint64_t value)
+{
+    std::string digits(sizeof(value) * 2, '0');
+    const auto result = std::to_chars(digits.data(), digits.data() + digits.size(), value, hexadecimal);
+    digits.resize(static_cast<std::size_t>(result.ptr - digits.data()));
+    return digits;
+}
+
+} // namespace
+
+std::string encodeHop(const forward_hop& hop)
+{
+    return hex(hop.receiver) + separator + hex(hop.configurationVersion) + separator + hex(hop.earlierRuns);
+}
+
+std::optional<forward_hop> decodeHop(std::string_view text)
+{
+    const auto receiver = takeNumber<std::uint64_t>(text);
+    const auto version = receiver ? takeNumber<std::uint64_t>(text) : std::nullopt;
+    const auto runs = version ? takeNumber<unsigned>(text) : std::nullopt;
+    if (!runs || !text.empty())
+        return std::nullopt;
+    return forward_hop { *receiver, *version, *runs };
+}
+
+} // namespace gateway
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "forwardhop.h"
+
 #include "decisions/prefixindex.h"
 
 #include "utils/time.h"
@@ -35,6 +37,7 @@
     std::vector<header_line> forwardedHeaders; ///< headers that are forwarded to the backend server
     std::shared_ptr<const std::string> body; ///< null when there is none; shared with the writes that send it
     utils::time_point arrivedAt {};
+    std::optional<forward_hop> hop; ///< set if another node has forwarded the request
 };
 
 /// What this node adds to a request for one backend server.
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -2,6 +2,8 @@
 
 #include "clientsession.h"
 #include "nodecontext.h"
+#include "pathprober.h"
+#include "peerforwarder.h"
 #include "peerlink.h"
 #include "peertable.h"
 #include "textserver.h"
@@ -36,7 +38,10 @@
               [this](std::string_view) {
                   return text_answer { 200, m_context.metrics.text(gauges()) };
               }))
+        , m_forwarder(m_context, m_peers)
+        , m_prober(m_context)
         , m_acceptor(executor)
+        , m_forwardAcceptor(executor)
         , m_timer(executor)
         , m_openTimer(executor)
     {
@@ -53,6 +58,11 @@
             m_metricsServer->listen(
                 { m_context.options.callerAddress.address(), m_context.options.metricsPort });
         m_acceptor = wire::listenOn(executor, m_context.options.callerAddress);
+        if (m_context.options.forwardPort != 0) {
+            m_forwardAcceptor = wire::listenOn(
+                executor, { m_context.options.peerAddress.address(), m_context.options.forwardPort });
+            boost::asio::co_spawn(executor, acceptForwarded(), boost::asio::detached);
+        }
         const utils::time_point present = now();
         for (const auto& seed : m_context.options.seeds)
             m_peers.addAddress(wire::toText(seed), present);
@@ -140,12 +150,18 @@
             co_await m_openTimer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         }
         co_await wire::acceptLoop(
-            m_acceptor, [this](boost::asio::ip::tcp::socket socket) { return serve(std::move(socket)); });
+            m_acceptor, [this](boost::asio::ip::tcp::socket socket) { return serve(std::move(socket), 0); });
     }
 
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket)
+    boost::asio::awaitable<void> acceptForwarded()
     {
-        const auto accepted = std::make_shared<session>(m_context, std::move(socket));
+        co_await wire::acceptLoop(m_forwardAcceptor,
+            [this](boost::asio::ip::tcp::socket socket) { return serve(std::move(socket), m_bootId); });
+    }
+
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, std::uint64_t receiver)
+    {
+        const auto accepted = std::make_shared<session>(m_context, m_forwarder, std::move(socket), receiver);
         m_sessions.push_back(accepted);
         co_await accepted->run();
     }
@@ -192,6 +208,8 @@
     {
         m_context.servers.expire(present);
         m_context.pool.expire(present);
+        m_forwarder.expire(present);
+        m_prober.tick(present);
         m_context.poison.expire(present);
         m_context.failures.expire(present);
         m_peers.expire(present);
@@ -236,6 +254,13 @@
         heartbeat.sequence = ++m_sequence;
         m_viewUpdater.fillHeartbeat(heartbeat, present);
         heartbeat.isLeaving = m_context.window.isStopping();
+        heartbeat.dataCentre = m_context.options.dataCentre;
+        heartbeat.forwardPort = m_context.options.forwardPort;
+        heartbeat.requestsInProgress = static_cast<std::uint32_t>(m_context.requestsInProgress);
+        for (std::string& service : m_context.reachability.cutOffServices()) {
+            if (heartbeat.cutOffServices.size() < peer_heartbeat::maxEntries)
+                heartbeat.cutOffServices.push_back({ std::move(service) });
+        }
         for (const auto& [server, share] : m_context.loads.ownShares()) {
             if (heartbeat.shares.size() < peer_heartbeat::maxEntries)
                 heartbeat.shares.push_back({ server.str(), share });
@@ -317,7 +342,10 @@
     std::shared_ptr<peer_link> m_link;
     std::shared_ptr<text_server> m_readiness;
     std::shared_ptr<text_server> m_metricsServer;
+    peer_forwarder m_forwarder;
+    path_prober m_prober;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::acceptor m_forwardAcceptor;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_openTimer;
     std::list<std::weak_ptr<session>> m_sessions;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -138,6 +138,33 @@
     utils::logEvent(id,
         { { "service", service }, { "server", server.str() }, { "usable", std::to_string(usable) },
             { "connect", error.empty() ? "accepted" : error } });
+    if (error.empty())
+        resetServers(service);
+    else
+        suspectOtherServices(service);
+}
+
+void node_context::resetServers(const std::string& service)
+{
+    std::vector<utils::server_id> ids;
+    for (const catalogue::backend_server* server : servers.usable(service)) {
+        ids.push_back(server->id);
+        // Whether a connection from before has lost bytes cannot be seen.
+        pool.drop(server->id);
+    }
+    health.reset(service, ids);
+}
+
+void node_context::suspectOtherServices(const std::string& service)
+{
+    failures.discardUpdates();
+    if (!configuration)
+        return;
+    for (const auto& [name, other] : configuration->services) {
+        const auto usable = servers.usable(name);
+        if (name != service && !usable.empty())
+            reachability.suspected(name, usable.front()->id);
+    }
 }
 
 void node_context::updateHealth()
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -90,6 +90,10 @@
     bool isViewTooOld(utils::time_point present) const;
     /// Records the result of opening a connection to a backend server; `error` is empty if it was accepted.
     void recordConnect(const utils::server_id& server, const std::string& error, utils::time_point present);
+    /// Forgets what was learned of the servers of a service while they were out of reach.
+    void resetServers(const std::string& service);
+    /// The path to one service is lost, so those to the others have to be probed.
+    void suspectOtherServices(const std::string& service);
     /// Updates the health tracking to the current directory of backend servers.
     void updateHealth();
 };
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -57,6 +57,8 @@
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
     counter_family& connects = counters(
         "lycheefront_server_connects_total", "Connections opened to backend servers, by service and end");
+    counter_family& forwards
+        = counters("lycheefront_forwarded_requests_total", "Requests forwarded to peers, by service and end");
     counter_family& storeCalls
         = counters("lycheefront_store_calls_total", "Calls to the store, by kind and end");
     counter_family& heartbeats = counters("lycheefront_peer_beats_total", "Beats sent and received");
@@ -133,6 +135,11 @@
         .Increment();
 }
 
+void node_metrics::countForward(std::string_view service, attempt_outcome end)
+{
+    d->forwards.Add({ { "service", str(service) }, { "end", str(toString(end)) } }).Increment();
+}
+
 void node_metrics::countStoreCall(store_call call, store_status status)
 {
     d->storeCalls.Add({ { "call", str(toString(call)) }, { "end", str(toString(status)) } }).Increment();
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -55,6 +55,8 @@
     void countColdRequest(std::string_view service);
     /// Counts a connection to a backend server that was accepted or not.
     void countConnect(std::string_view service, bool isAccepted);
+    /// Counts an attempt by way of a peer.
+    void countForward(std::string_view service, attempt_outcome end);
     void countStoreCall(store_call call, store_status status);
     void countHeartbeat(bool isSent);
     void countViewFetch(std::string_view end);
--- a/src/libs/gateway/nodeoptions.h
+++ b/src/libs/gateway/nodeoptions.h
@@ -20,6 +20,9 @@
     boost::asio::ip::tcp::endpoint callerAddress; ///< listener for callers
     boost::asio::ip::tcp::endpoint readinessAddress; ///< listener for the load balancer's readiness checks
     boost::asio::ip::tcp::endpoint peerAddress; ///< listener for other nodes, TCP and UDP
+    /// Listener for requests that peers forward, TCP, at the address of `peerAddress`; 0: none. Callers must
+    /// not reach it.
+    std::uint16_t forwardPort = 0;
     std::vector<boost::asio::ip::tcp::endpoint> seeds; ///< addresses of some other nodes; may be outdated
     boost::asio::ip::tcp::endpoint storeAddress;
     std::uint16_t metricsPort = 0; ///< 0: no metrics
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -55,6 +55,13 @@
     }
 };
 
+/// A service whose backend servers the sender cannot connect to.
+struct reported_service {
+    std::string name;
+
+    template <class Archive> void serialize(Archive& archive) { wire::detail::serializeShort(archive, name); }
+};
+
 /// The address of a node.
 struct reported_address {
     std::string address; ///< "ip:port"
@@ -75,6 +82,10 @@
     std::uint64_t configurationRevision = 0; ///< store revision of the configuration in force; 0: none
     std::uint64_t serversRevision = 0; ///< store revision of the last known change of the backend servers
     std::uint32_t evidenceAgeMs = 0; ///< time since its configuration was last known to be the newest
+    std::string dataCentre;
+    std::uint16_t forwardPort = 0; ///< of its listener for forwarded requests; 0: it has none
+    std::uint32_t requestsInProgress = 0;
+    std::vector<reported_service> cutOffServices;
     bool isLeaving = false;
     bool followsStore = false; ///< receives changes from the store itself, as far as it knows
     bool isSettled = false; ///< follows the store, and no entry is missing because of a store outage
@@ -95,8 +106,10 @@
     {
         wire::detail::serializeShort(archive, node);
         wire::detail::serializeShort(archive, address);
-        archive(bootId, sequence, configurationRevision, serversRevision, evidenceAgeMs, isLeaving,
-            followsStore, isSettled, omitsLists);
+        wire::detail::serializeShort(archive, dataCentre);
+        wire::detail::serializeShort(archive, cutOffServices);
+        archive(bootId, sequence, configurationRevision, serversRevision, evidenceAgeMs, forwardPort,
+            requestsInProgress, isLeaving, followsStore, isSettled, omitsLists);
         wire::detail::serializeShort(archive, shares);
         wire::detail::serializeShort(archive, strikes);
         wire::detail::serializeShort(archive, placements);
--- a/src/libs/gateway/peertable.cpp
+++ b/src/libs/gateway/peertable.cpp
@@ -43,6 +43,12 @@
     peer.sequence = heartbeat.sequence;
     peer.configurationRevision = heartbeat.configurationRevision;
     peer.serversRevision = heartbeat.serversRevision;
+    peer.dataCentre = heartbeat.dataCentre;
+    peer.forwardPort = heartbeat.forwardPort;
+    peer.requestsInProgress = heartbeat.requestsInProgress;
+    peer.cutOffServices.clear();
+    for (const reported_service& service : heartbeat.cutOffServices)
+        peer.cutOffServices.push_back(service.name);
     peer.isLeaving = heartbeat.isLeaving;
     peer.followsStore = heartbeat.followsStore;
     peer.heardAt = now;
--- a/src/libs/gateway/peertable.h
+++ b/src/libs/gateway/peertable.h
@@ -21,6 +21,10 @@
     std::uint64_t sequence = 0;
     std::uint64_t configurationRevision = 0;
     std::uint64_t serversRevision = 0;
+    std::string dataCentre;
+    std::uint16_t forwardPort = 0; ///< of its listener for forwarded requests; 0: it has none
+    std::uint64_t requestsInProgress = 0;
+    std::vector<std::string> cutOffServices; ///< whose backend servers it cannot connect to
     bool isLeaving = false;
     bool followsStore = false;
     utils::time_point heardAt {};
@@ -78,6 +82,8 @@
     /// yet.
     std::vector<std::string> presumedLive(utils::time_point now) const;
     const std::string& ownAddress() const { return m_ownAddress; }
+    /// All peers, by name, whether alive or not.
+    const std::map<std::string, peer_state>& peers() const { return m_peers; }
     /// Null if unknown.
     const peer_state* find(const std::string& node) const;
 
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -3,7 +3,9 @@
 #include "attempt.h"
 #include "attempttracker.h"
 #include "clock.h"
+#include "connectattempt.h"
 #include "flowresult.h"
+#include "peerforwarder.h"
 #include "requestlog.h"
 #include "requestplan.h"
 #include "responserelay.h"
@@ -21,13 +23,15 @@
 namespace gateway {
 
 /// Processes one request: chooses a backend server, sends the request, retries it where attempt_record
-/// allows, and forwards the response. Not thread safe.
+/// allows, and forwards the response. While this node cannot connect to the servers of the service, the
+/// request goes by way of a peer. Not thread safe.
 template <wire_protocol Wire> class request_flow {
 public:
     /// Precondition: all arguments outlive run().
-    request_flow(node_context& context, const client_request& request, const request_plan& plan,
-        std::shared_ptr<stop_scope> scope, response_writer& writer)
+    request_flow(node_context& context, peer_forwarder& forwarder, const client_request& request,
+        const request_plan& plan, std::shared_ptr<stop_scope> scope, response_writer& writer)
         : m_context(context)
+        , m_forwarder(forwarder)
         , m_request(request)
         , m_plan(plan)
         , m_scope(std::move(scope))
@@ -41,28 +45,18 @@
 
     boost::asio::awaitable<flow_result> run()
     {
+        m_record.addEarlierRuns(m_request.hop ? m_request.hop->earlierRuns : 0);
         while (m_scope->checkDeadline(now()) == stop_reason::None) {
             recordViewAge();
             if (m_result.isViewTooOld)
                 break;
-            const auto placement = chooseServer(
-                m_context, m_plan, m_triedServers, m_requestNumber * 31 + m_record.attempts(), now());
-            if (!placement)
-                break;
-            m_result.placement = *placement;
-            m_result.server = placement->server;
-            if (m_record.attempts() == 0)
-                m_result.refused = refuseOverload(m_context, m_request, m_plan, *placement, now());
-            if (m_result.refused)
-                break;
-            m_triedServers.insert(placement->server);
-            const utils::time_point startedAt = now();
-            m_result.lastOutcome = co_await tryServer(placement->server);
-            if (m_result.lastOutcome != attempt_outcome::Answered)
-                logFailedAttempt(m_request, describeFailure(startedAt));
-            m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
-            m_record.add(m_result.lastOutcome);
-            if (!m_record.mayRetry() || m_result.isTruncated)
+            const std::optional<forward_target> peer = choosePeer();
+            bool mayGoOn = false;
+            if (peer)
+                mayGoOn = co_await tryPeer(*peer);
+            else
+                mayGoOn = co_await tryNextServer();
+            if (!mayGoOn || !m_record.mayRetry() || m_result.isTruncated)
                 break;
         }
         m_result.attempts = m_record.attempts();
@@ -76,6 +70,100 @@
 private:
     using error_code = boost::system::error_code;
 
+    /// Chooses the peer to which the next attempt goes, because this node does not reach the servers of the
+    /// service; nothing if the attempt goes to a server.
+    std::optional<forward_target> choosePeer() const
+    {
+        if (m_request.hop)
+            return std::nullopt;
+        const bool isOutOfReach
+            = m_context.reachability.isCutOff(m_plan.service) || m_record.unsent() >= unsentBeforeForward;
+        if (!isOutOfReach)
+            return std::nullopt;
+        return m_forwarder.choose(m_plan, m_triedPeers, m_requestNumber * 31 + m_record.attempts(), now());
+    }
+
+    /// Makes one attempt by way of a peer. Returns whether another attempt may follow.
+    boost::asio::awaitable<bool> tryPeer(forward_target peer)
+    {
+        m_triedPeers.insert(peer.node);
+        m_result.server = {};
+        m_result.forwardedTo = peer.node;
+        const utils::time_point startedAt = now();
+        m_forwarder.began(peer);
+        m_result.lastOutcome = co_await forwardTo(peer);
+        m_forwarder.ended(peer);
+        if (m_result.lastOutcome != attempt_outcome::Answered)
+            logFailedAttempt(m_request, describeFailure(startedAt));
+        m_context.metrics.countForward(m_plan.service, m_result.lastOutcome);
+        m_record.addForwarded(m_result.lastOutcome);
+        if (m_result.lastOutcome == attempt_outcome::Answered && m_relay.peerFailure())
+            m_result.failure = utils::makeFailure(*m_relay.peerFailure());
+        co_return !isOverload(m_relay.peerFailure());
+    }
+
+    /// Whether a peer has refused the request because of the load of the servers, which other peers see too.
+    static bool isOverload(std::optional<utils::error_kind> peerFailure)
+    {
+        return peerFailure == utils::error_kind::QueueFull
+            || peerFailure == utils::error_kind::DeadlineUnreachable;
+    }
+
+    boost::asio::awaitable<attempt_outcome> forwardTo(const forward_target& peer)
+    {
+        http_connection_ptr connection = m_forwarder.takeConnection(peer, now());
+        if (connection) {
+            m_scope->setConnection(connection);
+        } else {
+            connection = std::make_shared<http_connection>(m_context.executor);
+            m_connectError = co_await connectWithin(m_scope, connection, peer.address);
+            if (!m_connectError.empty())
+                co_return attempt_outcome::NotSent;
+        }
+        if (m_scope->checkDeadline(now()) != stop_reason::None) {
+            m_forwarder.putConnection(peer, connection, now());
+            co_return attempt_outcome::NotSent;
+        }
+        server_request request;
+        request.callerTimeLeft = std::max(utils::duration::zero(), m_plan.callerDeadline - now());
+        request.lastEventId = m_relay.lastEventId();
+        const forward_hop hop { peer.bootId, m_plan.configuration->version, m_record.possibleRuns() };
+        const header_line line { std::string(forwardHopHeader), encodeHop(hop) };
+        std::string head = Wire::encodeForward(m_request, request, line);
+        connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
+        const attempt_outcome outcome = co_await m_relay.exchangeWithPeer(connection);
+        m_scope->setConnection(nullptr);
+        if (outcome == attempt_outcome::Answered || outcome == attempt_outcome::NotRun)
+            m_forwarder.putConnection(peer, connection, now());
+        else
+            connection->abort();
+        co_return outcome;
+    }
+
+    /// Makes one attempt at a server. Returns whether another attempt may follow.
+    boost::asio::awaitable<bool> tryNextServer()
+    {
+        const auto placement = chooseServer(
+            m_context, m_plan, m_triedServers, m_requestNumber * 31 + m_record.attempts(), now());
+        if (!placement)
+            co_return false;
+        m_result.placement = *placement;
+        m_result.server = placement->server;
+        m_result.forwardedTo.clear();
+        if (m_record.attempts() == 0)
+            m_result.refused = refuseOverload(m_context, m_request, m_plan, *placement, now());
+        if (m_result.refused)
+            co_return false;
+        m_triedServers.insert(placement->server);
+        const utils::time_point startedAt = now();
+        m_result.lastOutcome = co_await tryServer(placement->server);
+        if (m_result.lastOutcome != attempt_outcome::Answered)
+            logFailedAttempt(m_request, describeFailure(startedAt));
+        m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
+        m_record.add(m_result.lastOutcome);
+        co_return true;
+    }
+
     void recordViewAge()
     {
         const utils::time_point present = now();
@@ -86,7 +174,8 @@
 
     failed_attempt describeFailure(utils::time_point startedAt)
     {
-        failed_attempt attempt { m_result.server, m_result.lastOutcome, std::exchange(m_connectError, {}) };
+        failed_attempt attempt { m_result.server, m_result.forwardedTo, m_result.lastOutcome,
+            std::exchange(m_connectError, {}) };
         attempt.took = now() - startedAt;
         if (m_record.isSent(m_result.lastOutcome))
             attempt.silentFor = m_tracker.silentFor(now());
@@ -153,29 +242,19 @@
         if (!endpoint)
             co_return nullptr;
         const auto connection = std::make_shared<http_connection>(m_context.executor);
-        m_scope->setConnection(connection);
-        const utils::time_point connectBy = now() + connectTimeout;
-        m_scope->setTimeoutCheck([connectBy](utils::time_point) { return connectBy; }, now());
-        const error_code error = co_await connection->connect(*endpoint);
-        if (!error) {
-            m_scope->setConnection(connection); // ends the connect timeout
-            m_context.recordConnect(server, {}, now());
+        m_connectError = co_await connectWithin(m_scope, connection, *endpoint);
+        if (m_connectError.empty()) {
+            m_context.recordConnect(server, m_connectError, now());
             co_return connection;
         }
-        if (m_scope->reason() == stop_reason::None)
-            recordUnreachable(server, m_scope->hasTimedOut() ? "timed out" : error.message());
-        m_scope->setConnection(nullptr);
+        if (m_scope->reason() == stop_reason::None) {
+            m_context.recordConnect(server, m_connectError, now());
+            m_context.health.unreachable(server, now());
+            m_context.coldStarts.recordUnreachable(server, now());
+        }
         co_return nullptr;
     }
 
-    void recordUnreachable(const utils::server_id& server, const std::string& error)
-    {
-        m_connectError = error;
-        m_context.recordConnect(server, error, now());
-        m_context.health.unreachable(server, now());
-        m_context.coldStarts.recordUnreachable(server, now());
-    }
-
     /// Counts the send, and takes it from the retry budget if it is a retry. False when the budget is used
     /// up.
     bool spendRetryBudget()
@@ -228,7 +307,11 @@
             m_writer.closeAfterResponse();
             co_return;
         }
+        if (m_relay.peerFailure() && !m_record.hasProvablyNotRun())
+            m_relay.dropFallback();
         if (m_relay.hasFallback()) {
+            if (m_relay.peerFailure())
+                m_result.failure = utils::makeFailure(*m_relay.peerFailure());
             const attempt_outcome outcome = co_await m_relay.sendFallback();
             if (outcome == attempt_outcome::Answered) {
                 m_result.lastOutcome = outcome;
@@ -253,10 +336,11 @@
         co_await m_writer.writeFailure(failure);
     }
 
-    // Within a region a SYN is answered within 10 ms; a lost one is retransmitted only after 1 s.
-    static constexpr utils::duration connectTimeout = std::chrono::milliseconds(400);
+    // Attempts that could not connect before the next one goes to a peer.
+    static constexpr unsigned unsentBeforeForward = 2;
 
     node_context& m_context;
+    peer_forwarder& m_forwarder;
     const client_request& m_request;
     const request_plan& m_plan;
     std::shared_ptr<stop_scope> m_scope;
@@ -265,6 +349,7 @@
     std::uint64_t m_requestNumber;
     attempt_tracker m_tracker;
     std::set<utils::server_id> m_triedServers;
+    std::set<std::string> m_triedPeers;
     flow_result m_result;
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
     response_relay<Wire> m_relay;
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -49,6 +49,10 @@
         if (!result.copiedFrom.isEmpty())
             fields.push_back({ "copied_from", result.copiedFrom.str() });
     }
+    if (request.hop)
+        fields.push_back({ "forwarded", "yes" });
+    if (!result.forwardedTo.empty())
+        fields.push_back({ "forwarded_to", result.forwardedTo });
     if (plan.parts.size() > 1) {
         const decisions::prompt_part& part = plan.parts[plan.parts.size() - 2];
         fields.push_back({ "shared_part", std::to_string(part.id) + ':' + std::to_string(part.tokens) });
@@ -81,9 +85,11 @@
 
 void logFailedAttempt(const client_request& request, const failed_attempt& attempt)
 {
+    const bool isForwarded = !attempt.forwardedTo.empty();
     std::vector<utils::log_field> fields { { "request", request.requestId },
-        { "server", attempt.server.str() }, { "end", std::string(toString(attempt.outcome)) },
-        { "ms", millisecondsText(attempt.took) }, { "silent_ms", millisecondsText(attempt.silentFor) },
+        { isForwarded ? "forwarded_to" : "server", isForwarded ? attempt.forwardedTo : attempt.server.str() },
+        { "end", std::string(toString(attempt.outcome)) }, { "ms", millisecondsText(attempt.took) },
+        { "silent_ms", millisecondsText(attempt.silentFor) },
         { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) },
         { "view_age_ms", millisecondsText(attempt.viewAge) },
         { "view_behind_ms", millisecondsText(attempt.viewBehind) } };
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -13,6 +13,7 @@
 /// What is logged of an attempt that brought no response to the caller.
 struct failed_attempt {
     utils::server_id server;
+    std::string forwardedTo; ///< the peer, instead of a server
     attempt_outcome outcome = attempt_outcome::NotSent;
     std::string connectError; ///< why no connection was opened; empty if one was
     utils::duration took {};
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -114,6 +114,8 @@
 {
     if (!context.configuration)
         return utils::fail(error_kind::NodeNotCurrent, "no configuration is in force here yet");
+    if (request.hop && request.hop->configurationVersion != context.configuration->version)
+        return utils::fail(error_kind::NodeNotCurrent, "the forwarding node has another configuration");
     request_plan plan;
     plan.configuration = context.configuration;
     plan.route = plan.configuration->findRoute(request.host, request.target);
@@ -183,8 +185,12 @@
         candidates.push_back(candidateOf(*server, plan, weight, context.failures.countAt(server->id, now)));
     }
     // If all servers look unresponsive, the fault is most likely on the side of this node.
-    const auto isResponsive
-        = [&](const auto& candidate) { return !context.isSilent(plan.service, candidate.id, now); };
+    const auto isResponsive = [&](const auto& candidate) {
+        const bool isSilent = context.isSilent(plan.service, candidate.id, now);
+        if (isSilent)
+            context.reachability.suspected(plan.service, candidate.id);
+        return !isSilent;
+    };
     if (std::ranges::any_of(candidates, isResponsive))
         std::erase_if(candidates, [&](const auto& candidate) { return !isResponsive(candidate); });
     const decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre, salt,
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -46,16 +46,19 @@
     /// server.
     void startTimeout(utils::duration limit)
     {
-        if (!mayRetryElsewhere(m_plan))
+        // A peer retries on other servers by itself.
+        if (!mayRetryElsewhere(m_plan) || m_isFromPeer)
             return;
         m_tracker.restartTimeout(now());
         m_scope->setTimeoutCheck(
             [this, limit](utils::time_point present) { return m_tracker.timeoutAt(limit, present); }, now());
     }
 
-    /// Reads the response to the request that was just sent and forwards it.
+    /// Reads the response to the request that was just sent to a server and forwards it.
     boost::asio::awaitable<attempt_outcome> exchange(utils::server_id server, http_connection_ptr connection)
     {
+        m_isFromPeer = false;
+        m_peerFailure.reset();
         m_scanner.restart();
         server_response response;
         for (unsigned skipped = 0;; ++skipped) {
@@ -91,6 +94,32 @@
         co_return co_await relayBuffered(std::move(response), std::move(connection));
     }
 
+    /// Reads the response of a peer to the forwarded request and forwards it.
+    boost::asio::awaitable<attempt_outcome> exchangeWithPeer(http_connection_ptr connection)
+    {
+        m_isFromPeer = true;
+        m_peerFailure.reset();
+        m_scanner.restart();
+        const error_code error = co_await connection->readHead();
+        if (error)
+            co_return outcomeOf(error);
+        server_response response = Wire::decodeResponse(connection->head());
+        const bool isOwn = response.requestId.empty() || response.requestId == m_request.requestId;
+        const bool isServers = response.isSigned && !response.isEncoded;
+        if (!isOwn || (response.status < firstErrorStatus && !isServers))
+            co_return attempt_outcome::Garbled;
+        if (!response.isSigned)
+            co_return co_await takePeerFailure(std::move(response), std::move(connection));
+        const bool isStream = m_plan.route->kind == catalogue::request_kind::Stream && response.status < 300;
+        if (isStream)
+            co_return co_await relayStream(std::move(response), std::move(connection));
+        co_return co_await relayBuffered(std::move(response), std::move(connection));
+    }
+
+    /// The kind of failure that the last peer has answered with; nothing if it has answered otherwise.
+    std::optional<utils::error_kind> peerFailure() const { return m_peerFailure; }
+    /// Drops the kept response.
+    void dropFallback() { m_fallback.reset(); }
     /// Whether an error response is kept, to be forwarded if no later attempt succeeds.
     bool hasFallback() const { return m_fallback.has_value(); }
     /// Forwards the kept error response. Precondition: hasFallback().
@@ -106,6 +135,28 @@
 private:
     using error_code = boost::system::error_code;
 
+    /// Keeps a peer's refusal of a request that has not run, which another peer may take. Forwards any other
+    /// error of the peer.
+    boost::asio::awaitable<attempt_outcome> takePeerFailure(
+        server_response response, http_connection_ptr connection)
+    {
+        std::string body;
+        const error_code error = co_await readBuffered(*connection, body);
+        if (error || !connection->isDone())
+            co_return error ? outcomeOf(error) : attempt_outcome::Garbled;
+        m_peerFailure = utils::errorKindFromProblem(body);
+        if (!m_peerFailure || m_writer.hasBegun())
+            co_return attempt_outcome::Garbled;
+        m_result.status = response.status;
+        const utils::error_answer& answer = utils::answerFor(*m_peerFailure);
+        if (answer.run == utils::run_state::NotRun && answer.hasRetryAfter) {
+            m_fallback = std::move(response);
+            m_fallbackBody = std::move(body);
+            co_return attempt_outcome::NotRun;
+        }
+        co_return co_await forwardBuffered(std::move(response), std::move(body));
+    }
+
     boost::asio::awaitable<attempt_outcome> relayBuffered(
         server_response response, http_connection_ptr connection)
     {
@@ -124,7 +175,7 @@
         if (!connection->isDone())
             co_return co_await relayUnbuffered(std::move(response), std::move(body), std::move(connection));
         const bool isFailure = response.status >= 500;
-        if (isFailure && canRetry() && !m_writer.hasBegun()) {
+        if (isFailure && !m_isFromPeer && canRetry() && !m_writer.hasBegun()) {
             m_fallback = std::move(response);
             m_fallbackBody = std::move(body);
             co_return attempt_outcome::Failed;
@@ -255,6 +306,7 @@
     // Limit of skipped responses to earlier requests; a server sends at most one.
     static constexpr unsigned maxSkippedResponses = 2;
     static constexpr int misdirectedRequest = 421;
+    static constexpr int firstErrorStatus = 400;
     // Bytes of a response that are buffered until it is complete. Typical responses have one or some KB; 600
     // of this size at once fit into the memory of the smallest VM seen, 160 MB.
     static constexpr std::size_t maxBufferedBytes = 262144;
@@ -271,6 +323,8 @@
     std::optional<server_response> m_streamHead; ///< from the first attempt; later ones only add events
     std::optional<server_response> m_fallback; ///< an error response to forward if no later attempt succeeds
     std::string m_fallbackBody;
+    bool m_isFromPeer = false; ///< the last response came from a peer
+    std::optional<utils::error_kind> m_peerFailure;
     utils::time_point m_lastEventsAt {}; ///< when the last events were forwarded
 };
 
--- a/src/libs/gateway/wireprotocol.h
+++ b/src/libs/gateway/wireprotocol.h
@@ -22,6 +22,9 @@
     {
         Wire::encodeRequest(request, call)
         } -> std::same_as<std::string>;
+    {
+        Wire::encodeForward(request, call, header_line())
+        } -> std::same_as<std::string>;
     {
         Wire::decodeResponse(answerHead)
         } -> std::same_as<server_response>;
--- a/src/libs/utils/errorkind.cpp
+++ b/src/libs/utils/errorkind.cpp
@@ -110,6 +110,16 @@
     return boost::json::serialize(body);
 }
 
+std::optional<error_kind> errorKindFromProblem(std::string_view body)
+{
+    boost::system::error_code fault;
+    const boost::json::value problem = boost::json::parse(body, fault);
+    const boost::json::object* fields = fault ? nullptr : problem.if_object();
+    const boost::json::value* kind = fields == nullptr ? nullptr : fields->if_contains("kind");
+    const boost::json::string* name = kind == nullptr ? nullptr : kind->if_string();
+    return name == nullptr ? std::nullopt : errorKindFromName({ name->data(), name->size() });
+}
+
 int retryAfterSeconds(const failure& f)
 {
     if (f.retryAfter)
--- a/src/libs/utils/errorkind.h
+++ b/src/libs/utils/errorkind.h
@@ -85,6 +85,8 @@
 std::optional<run_state> runStateFromName(std::string_view name);
 /// The body of an application/problem+json answer. Thread safe.
 std::string problemJson(const failure& f);
+/// Returns the kind that problemJson() wrote, or nothing if the text is no such body. Thread safe.
+std::optional<error_kind> errorKindFromProblem(std::string_view body);
 /// Whole seconds for Retry-After, at least 1; 0 if the answer has no such header. Thread safe.
 int retryAfterSeconds(const failure& f);
 
--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -35,7 +35,7 @@
     : m_route(std::move(route))
     , m_store(m_thread)
     , m_folder(std::filesystem::temp_directory_path() / ("lycheefront-gateway-" + std::to_string(getpid())))
-    , m_peerPort(freePort(nodeAddress(0)))
+    , m_peerPort(freePortPair(nodeAddress(0)))
 {
     std::filesystem::create_directories(m_folder);
     for (std::size_t i = 0; i < replicas; ++i) {
@@ -139,7 +139,7 @@
     const std::string store = "127.0.0.1:" + std::to_string(routed(node.storePort));
     const std::string regions = "[zones]\na = \"north\"\nb = \"north\"\nc = \"south\"\n";
     return "node = \"" + node.name + "\"\nzone = \"a\"\nseeds = [" + seeds + "]\ninternalPorts = ["
-        + std::to_string(peerPort) + ", " + std::to_string(peerPort) + "]\n" + regions
+        + std::to_string(peerPort) + ", " + std::to_string(peerPort + 1) + "]\n" + regions
         + "[listen]\nfront = \"" + node.address + ":" + std::to_string(node.callerPort) + "\"\nreadiness = \""
         + node.address + ":" + std::to_string(node.readinessPort) + "\"\n[provider]\naddress = \"" + store
         + "\"\n";
--- a/tests/auto/gateway/tst_attempt.cpp
+++ b/tests/auto/gateway/tst_attempt.cpp
@@ -75,4 +75,33 @@
     BOOST_TEST(!lookup.hasProvablyNotRun());
 }
 
+// Guards against a second run of a request that a peer may have run, and against more runs than the route
+// allows: the peer may have used all of them.
+BOOST_AUTO_TEST_CASE(nothing_follows_a_forwarded_attempt_that_may_have_run)
+{
+    for (const attempt_outcome end :
+        { attempt_outcome::Cut, attempt_outcome::Silent, attempt_outcome::Garbled }) {
+        attempt_record lookup(true, 3);
+        lookup.addForwarded(end);
+        BOOST_TEST(!lookup.mayRetry());
+        BOOST_TEST(!lookup.hasProvablyNotRun());
+    }
+    attempt_record payment(false, 1);
+    payment.addForwarded(attempt_outcome::NotSent);
+    payment.addForwarded(attempt_outcome::NotRun);
+    BOOST_TEST(payment.mayRetry());
+    BOOST_TEST(payment.hasProvablyNotRun());
+}
+
+// Guards against a peer that says "not run" of a request which the forwarding node has sent before.
+BOOST_AUTO_TEST_CASE(runs_before_the_request_was_forwarded_count)
+{
+    attempt_record lookup(true, 2);
+    lookup.addEarlierRuns(1);
+    BOOST_TEST(lookup.isRetry());
+    BOOST_TEST(!lookup.hasProvablyNotRun());
+    lookup.add(attempt_outcome::Cut);
+    BOOST_TEST(!lookup.mayRetry());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -1,10 +1,12 @@
 #include "gatewaytestbed.h"
+#include "rawcaller.h"
 
 #include "platformstandin/faultproxy.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <future>
 #include <map>
 #include <memory>
 #include <vector>
@@ -63,6 +65,25 @@
             failed += servesEachKind() ? 0 : 1;
         return failed;
     }
+    /// Cuts the first node off and waits until its callers are served by way of its peers.
+    void cutOff()
+    {
+        setPaths(link_state::Refusing);
+        setPaths(link_state::ClosedToNew);
+        BOOST_REQUIRE(waitUntil([&] {
+            servesEachKind();
+            return node(0).process->log().find("\"service\":\"press\",\"server\"") != std::string::npos
+                && node(0).process->log().find("forwarded_to") != std::string::npos && servesEachKind();
+        }));
+    }
+    /// Requests that have reached the plain service.
+    std::size_t pressRequests()
+    {
+        std::size_t requests = 0;
+        for (std::size_t i = 0; i < replicas; ++i)
+            requests += press(i).requestCount();
+        return requests;
+    }
     bool isServed(const http_question& question)
     {
         const http_reply reply = ask(node(0), question);
@@ -135,4 +156,80 @@
     checkCut(*this, { link_state::Refusing, link_state::ClosedToNew });
 }
 
+// Guards against a second run of a payment whose peer dies, and against a "not run" that is not true.
+BOOST_FIXTURE_TEST_CASE(a_payment_whose_peer_dies_is_not_sent_again, cut_testbed)
+{
+    cutOff();
+    for (std::size_t i = 0; i < replicas; ++i)
+        press(i).act(platform_standin::replica_act::Hang);
+    const std::size_t before = pressRequests();
+    auto running
+        = std::async(std::launch::async, [&] { return ask(node(0), question("POST", "/pay/1", "5")); });
+    BOOST_REQUIRE(waitUntil([&] { return pressRequests() > before; }));
+    node(1).process->kill();
+    node(2).process->kill();
+    const http_reply reply = running.get();
+    BOOST_TEST((reply.status == 502 || reply.status == 504));
+    BOOST_TEST(pressRequests() == before + 1);
+}
+
+// Guards against work that goes on for a caller who has left the forwarding node.
+BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_ends_its_forwarded_request, cut_testbed)
+{
+    cutOff();
+    for (std::size_t i = 0; i < replicas; ++i)
+        press(i).act(platform_standin::replica_act::Hang);
+    const std::size_t before = pressRequests();
+    raw_caller caller(node(0));
+    caller.write("POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
+                 "Lycheefront-Attempt-Id: left-1\r\nContent-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(waitUntil([&] { return pressRequests() > before; }));
+    caller.close();
+    BOOST_TEST(waitUntil([&] {
+        unsigned abandoned = 0;
+        for (std::size_t i = 0; i < replicas; ++i)
+            abandoned += press(i).abandoned();
+        return abandoned > 0;
+    }));
+}
+
+// Guards against callers who reach the listener for forwarded requests.
+BOOST_FIXTURE_TEST_CASE(requests_that_no_peer_has_forwarded_are_not_served, cut_testbed)
+{
+    const std::size_t before = pressRequests();
+    for (const std::string hop : { "", "1-1-0", "no hop" }) {
+        http_question forged = question("GET", "/look/1");
+        forged.address = node(1).address;
+        if (!hop.empty())
+            forged.headers["Forward-Hop"] = hop;
+        BOOST_TEST(askHttp(static_cast<unsigned short>(peerPort() + 1), forged).status == 0);
+        // At the listener for callers the header means nothing, and it goes no further.
+        BOOST_TEST(ask(node(1), forged).status == 200);
+    }
+    BOOST_TEST(pressRequests() == before + 3);
+    for (std::size_t i = 0; i < replicas; ++i) {
+        for (const auto& request : press(i).requests())
+            BOOST_TEST(!request.headers.contains("forward-hop"));
+    }
+}
+
+// Guards against a configuration that goes back for the callers of a node whose peers have an older one.
+BOOST_FIXTURE_TEST_CASE(peers_with_another_configuration_take_no_request, cut_testbed)
+{
+    cutOff();
+    for (std::size_t i = 1; i < nodeCount(); ++i)
+        store().setMode(node(i).storePort, platform_standin::store_mode::Refuse);
+    const std::size_t before = pressRequests();
+    configure(2, true);
+    auto question = this->question("GET", "/look/1");
+    question.headers["Authorization"] = "Token key-2";
+    const bool isServed = waitUntil([&] {
+        question.headers["Lycheefront-Attempt-Id"] += "x";
+        return ask(node(0), question).status == 200;
+    });
+    // Peers fetch the new version from each other; until then they refuse, with "not run".
+    BOOST_TEST(isServed);
+    BOOST_TEST(pressRequests() == before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/gateway/tst_forwardhop.cpp
@@ -0,0 +1,34 @@
+#include "gateway/forwardhop.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+using gateway::decodeHop;
+using gateway::encodeHop;
+using gateway::forward_hop;
+
+BOOST_AUTO_TEST_SUITE(forwardhop)
+
+BOOST_AUTO_TEST_CASE(hops_round_trip)
+{
+    constexpr std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
+    for (const forward_hop& hop : { forward_hop { 0x1f2e, 40, 0 }, forward_hop { largest, largest, 3 } }) {
+        const auto read = decodeHop(encodeHop(hop));
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(read->receiver == hop.receiver);
+        BOOST_TEST(read->configurationVersion == hop.configurationVersion);
+        BOOST_TEST(read->earlierRuns == hop.earlierRuns);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(malformed_hops_are_not_read)
+{
+    for (const std::string text : { "", "-", "1", "1-2", "1-2-", "1-2-x", "1-2-3-4", "-1-2", "1--2", "1 -2-3",
+             "0x1-2-3", "11111111111111111-2-3" })
+        BOOST_TEST(!decodeHop(text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_gatewayrequests.cpp
+++ b/tests/auto/gateway/tst_gatewayrequests.cpp
@@ -1,9 +1,6 @@
 #include "gatewaytestbed.h"
+#include "rawcaller.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using platform_standin::eventsUpTo;
@@ -28,37 +25,6 @@
     return at == std::string::npos ? 0 : static_cast<std::size_t>(std::stod(text.substr(at + name.size())));
 }
 
-/// A caller's connection on which the test writes each byte itself.
-class raw_caller {
-public:
-    explicit raw_caller(const gateway_node& node)
-        : m_socket(m_io)
-    {
-        m_socket.connect({ boost::asio::ip::make_address(node.address), node.callerPort });
-    }
-
-    void write(const std::string& bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
-    std::string readToEnd()
-    {
-        std::string bytes;
-        boost::system::error_code ended;
-        boost::asio::read(m_socket, boost::asio::dynamic_buffer(bytes), ended);
-        return bytes;
-    }
-    /// Reads `count` bytes, or fewer if the connection ends.
-    std::size_t readSome(std::size_t count)
-    {
-        std::string bytes(count, '\0');
-        boost::system::error_code ended;
-        return boost::asio::read(m_socket, boost::asio::buffer(bytes), ended);
-    }
-    void close() { m_socket.close(); }
-
-private:
-    boost::asio::io_context m_io;
-    boost::asio::ip::tcp::socket m_socket;
-};
-
 } // namespace
 
 // The behaviour of one node towards callers and backend servers, for single requests.
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -73,6 +73,26 @@
         BOOST_TEST(head.find(gone) == std::string::npos, gone);
 }
 
+// Guards against a peer that plans a forwarded request otherwise than the node that its caller has asked.
+BOOST_AUTO_TEST_CASE(forwarded_requests_are_decoded_as_the_caller_sent_them)
+{
+    const auto request = request_codec::decodeRequest(headOf(
+        { { "Host", "a.example" }, { "Lycheefront-Attempt-Id", "9c41" }, { "Authorization", "Token secret" },
+            { "Lycheefront-Token-Usage", "1460,80" }, { "Lycheefront-Prompt-Prefix", "5c1e07a2:800" },
+            { "Lycheefront-Tenant", "other" }, { "X-Other", "kept" } }));
+    gateway::server_request call;
+    call.callerTimeLeft = 900ms;
+    call.lastEventId = 7;
+    const std::string head = request_codec::encodeForward(request, call, { "Forward-Hop", "1-2-3" });
+    for (const std::string kept : { "POST /chat/1?x=y HTTP/1.1\r\n", "Lycheefront-Attempt-Id: 9c41\r\n",
+             "Authorization: Token secret\r\n", "Lycheefront-Token-Usage: 1460,80\r\n",
+             "Lycheefront-Prompt-Prefix: 5c1e07a2:800\r\n", "X-Other: kept\r\n", "Last-Event-Id: 7\r\n",
+             "Lycheefront-Deadline-Ms: 900\r\n", "Forward-Hop: 1-2-3\r\n" })
+        BOOST_TEST(head.find(kept) != std::string::npos, kept);
+    for (const std::string gone : { "other", "Expect-Instance", "Priority" })
+        BOOST_TEST(head.find(gone) == std::string::npos, gone);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_numbers_count_as_absent)
 {
     const auto request = request_codec::decodeRequest(headOf({ { "Lycheefront-Deadline-Ms", "-5" },
--- a/tests/auto/processes/freeport.cpp
+++ b/tests/auto/processes/freeport.cpp
@@ -17,6 +17,22 @@
 constexpr int numbersOfAByte = 250;
 constexpr std::size_t firstNode = 2;
 
+/// Whether the port of that address is free for TCP and UDP.
+bool isFree(const asio::ip::address& address, unsigned short port)
+{
+    asio::io_context io;
+    boost::system::error_code error;
+    asio::ip::tcp::acceptor tcp(io);
+    asio::ip::udp::socket udp(io);
+    tcp.open(asio::ip::tcp::v4(), error);
+    tcp.bind({ address, port }, error);
+    if (error)
+        return false;
+    udp.open(asio::ip::udp::v4(), error);
+    udp.bind({ address, port }, error);
+    return !error;
+}
+
 } // namespace
 
 std::string nodeAddress(std::size_t index)
@@ -45,3 +61,15 @@
     }
     throw std::runtime_error("no free port");
 }
+
+unsigned short freePortPair(const std::string& address)
+{
+    const asio::ip::address parsed = asio::ip::make_address(address);
+    for (int i = 0; i < longestPolls; ++i) {
+        const unsigned short first = freePort(address);
+        const auto second = static_cast<unsigned short>(first + 1);
+        if (second > first && isFree(parsed, second))
+            return first;
+    }
+    throw std::runtime_error("no two free ports");
+}
--- a/tests/auto/processes/freeport.h
+++ b/tests/auto/processes/freeport.h
@@ -11,3 +11,6 @@
 /// they start, so port 0 will not do. The system draws at random from those not bound: of a thousand asked
 /// for in a row 79 came a second time.
 unsigned short freePort(const std::string& address);
+
+/// The first of two ports in a row that are free in the same way.
+unsigned short freePortPair(const std::string& address);
--- a/tests/auto/utils/tst_errorkind.cpp
+++ b/tests/auto/utils/tst_errorkind.cpp
@@ -32,6 +32,14 @@
     BOOST_TEST(body.at("status").as_int64() == 429);
 }
 
+BOOST_AUTO_TEST_CASE(the_kind_is_read_from_problem_json)
+{
+    const std::string body = utils::problemJson(utils::makeFailure(error_kind::NoServer));
+    BOOST_TEST((utils::errorKindFromProblem(body) == error_kind::NoServer));
+    for (const std::string other : { "", "{", "[]", "{\"kind\":7}", "{\"kind\":\"other\"}" })
+        BOOST_TEST(!utils::errorKindFromProblem(other).has_value(), other);
+}
+
 BOOST_AUTO_TEST_CASE(failure_overrides_run_state_of_table)
 {
     const utils::failure cut { error_kind::ServerFailed, "", utils::run_state::NotRun, {} };
--- a/tests/standins/platform/faultproxy.cpp
+++ b/tests/standins/platform/faultproxy.cpp
@@ -21,7 +21,7 @@
 // Longer than a node waits before it tries elsewhere, shorter than callers wait.
 constexpr auto slowBy = std::chrono::milliseconds(300);
 constexpr std::size_t pieceSize = 16384;
-constexpr int fillers = 3; // more than a listener with an empty queue takes
+constexpr std::size_t fillers = 3; // more than a listener with an empty queue takes
 
 } // namespace
 
@@ -72,11 +72,11 @@
 void fault_proxy::blockListener()
 {
     m_acceptor->listen(0);
-    for (int i = 0; i < fillers; ++i) {
-        m_fillers.emplace_back(m_thread.io(), tcp::v4());
-        m_fillers.back().non_blocking(true);
-        boost::system::error_code ignored; // it waits, which is what it is for
-        m_fillers.back().connect({ asio::ip::address_v4::loopback(), m_port }, ignored);
+    m_fillers.reserve(fillers);
+    for (std::size_t i = 0; i < fillers; ++i) {
+        m_fillers.emplace_back(m_thread.io());
+        m_fillers.back().async_connect(
+            { asio::ip::address_v4::loopback(), m_port }, [](const boost::system::error_code&) {});
     }
 }
 
