--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -66,6 +66,8 @@
     bool isNotExecuted = false; ///< the server declares that it has not run the request
     bool isEncoded = false; ///< the body has a content encoding: it is not the server's own bytes
     std::optional<reported_load> load;
+    /// The server may fail if it has to reject more requests than that in a second.
+    std::optional<unsigned> rejectionsPerSecond;
     std::optional<utils::duration> idleLimit; ///< the server closes a connection that is idle for longer
     std::vector<header_line> forwardedHeaders; ///< headers that are forwarded to the caller
 };
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -215,17 +215,20 @@
         m_peers.expire(present);
         std::erase_if(m_sessions, [](const auto& weak) { return weak.expired(); });
         m_context.fleetSize.observe(static_cast<unsigned>(m_peers.knownNodes()), present);
-        updateColdStarts(present);
+        updateLimiters(present);
         m_viewUpdater.tick(present);
         sendHeartbeats();
         advanceStop(present);
     }
 
-    void updateColdStarts(utils::time_point present)
+    void updateLimiters(utils::time_point present)
     {
-        if (m_context.fleetSize.nodes() > 0)
+        if (m_context.fleetSize.nodes() > 0) {
             m_context.coldStarts.setNodes(m_peers.ownAddress(), m_peers.knownAddresses());
+            m_context.rejections.setFleet(m_peers.ownAddress(), m_peers.knownNodes());
+        }
         m_context.coldStarts.expire(present);
+        m_context.rejections.expire(present);
     }
 
     void advanceStop(utils::time_point present)
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -13,6 +13,7 @@
 #include "decisions/loopdelay.h"
 #include "decisions/poisonregister.h"
 #include "decisions/recentfailures.h"
+#include "decisions/rejectionlimiter.h"
 #include "decisions/repeatallowance.h"
 #include "decisions/responsetimes.h"
 #include "decisions/serverchoice.h"
@@ -53,6 +54,7 @@
     decisions::server_health health;
     decisions::server_reachability reachability; ///< from the connections of this node
     decisions::cold_start_limiter coldStarts;
+    decisions::rejection_limiter rejections;
     decisions::recent_failures failures;
     decisions::silence_detector silence;
     std::map<std::string, decisions::response_times> responseTimes; ///< by service
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -46,6 +46,7 @@
     boost::asio::awaitable<flow_result> run()
     {
         m_record.addEarlierRuns(m_request.hop ? m_request.hop->earlierRuns : 0);
+        m_context.rejections.recordArrival(m_plan.service, now());
         while (m_scope->checkDeadline(now()) == stop_reason::None) {
             recordViewAge();
             if (m_result.isViewTooOld)
@@ -145,6 +146,10 @@
     {
         const auto placement = chooseServer(
             m_context, m_plan, m_triedServers, m_requestNumber * 31 + m_record.attempts(), now());
+        if (!placement && mayWaitForRoom()) {
+            co_await waitForRoom();
+            co_return true;
+        }
         if (!placement)
             co_return false;
         m_result.placement = *placement;
@@ -164,6 +169,22 @@
         co_return true;
     }
 
+    /// Whether to wait until this node may send to a server that announces how many rejections it bears.
+    bool mayWaitForRoom() const
+    {
+        return m_context.rejections.isLimited(m_plan.service, now())
+            && !m_context.servers.usable(m_plan.service).empty()
+            && m_waitedForRoom < std::min(maxWaitForRoom, m_plan.route->targetLatency / 2);
+    }
+
+    boost::asio::awaitable<void> waitForRoom()
+    {
+        constexpr utils::duration pause = decisions::rejection_limiter::window / 2;
+        m_waitedForRoom += pause;
+        boost::asio::steady_timer timer(m_context.executor, pause);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+
     void recordViewAge()
     {
         const utils::time_point present = now();
@@ -211,6 +232,7 @@
             m_context.coldStarts.recordSent(server, now());
             m_context.metrics.countColdRequest(m_plan.service);
         }
+        m_context.rejections.recordSent(server, now());
         m_context.metrics.countViewAge(m_result.viewAge);
         m_result.serverDataCentre = entry->dataCentre;
         const copy_source source = copySource(m_context, m_plan, *entry, now());
@@ -319,6 +341,8 @@
             }
         }
         utils::error_kind kind = m_record.finalErrorKind();
+        if (kind == utils::error_kind::NoServer && m_context.rejections.isLimited(m_plan.service, now()))
+            kind = utils::error_kind::QueueFull;
         if (m_result.isViewTooOld && m_record.hasProvablyNotRun())
             kind = utils::error_kind::NodeNotCurrent;
         if (m_result.stopReason == stop_reason::DeadlineExceeded) {
@@ -336,6 +360,8 @@
         co_await m_writer.writeFailure(failure);
     }
 
+    // Three windows of the draw leave few nodes without a server.
+    static constexpr utils::duration maxWaitForRoom = 3 * decisions::rejection_limiter::window;
     // Attempts that could not connect before the next one goes to a peer.
     static constexpr unsigned unsentBeforeForward = 2;
 
@@ -350,6 +376,7 @@
     attempt_tracker m_tracker;
     std::set<utils::server_id> m_triedServers;
     std::set<std::string> m_triedPeers;
+    utils::duration m_waitedForRoom {};
     flow_result m_result;
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
     response_relay<Wire> m_relay;
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -166,7 +166,14 @@
 bool maySendTo(node_context& context, const request_plan& plan, const catalogue::backend_server& server,
     utils::time_point now)
 {
+    const auto hasRoom = [&] {
+        const decisions::load_total load = context.loads.total(server.id, now);
+        const double unheard = (context.loads.peerScale(now) - 1) * load.peerRequests;
+        const double requests = load.requests + (load.isReported ? 0 : unheard);
+        return context.rejections.maySend(plan.service, server.id, requests, server.slots, now);
+    };
     return context.servers.isUsable(server.id) && isAllowedIn(plan, context.options, server.dataCentre)
+        && (!context.rejections.isLimited(plan.service, now) || hasRoom())
         && (!context.isCold(server.id, plan.coldStart, now)
             || context.coldStarts.maySend(server.id, plan.coldStart->requestsPerSecond, now));
 }
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -79,9 +79,12 @@
         connection->idleLimit = response.idleLimit;
         if (response.load)
             m_context.loads.recordReport(server, response.load->running, response.load->waiting, now());
+        m_context.rejections.recordAnswer(m_plan.service, response.rejectionsPerSecond, now());
         if (response.isNotExecuted) {
             if (response.status == misdirectedRequest)
                 m_context.servers.markIdentityMismatch(server);
+            else
+                m_context.rejections.recordRejected(server, now());
             std::string unused;
             co_await readBuffered(*connection, unused);
             co_return attempt_outcome::NotRun;
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -73,6 +73,17 @@
         BOOST_TEST(head.find(gone) == std::string::npos, gone);
 }
 
+BOOST_AUTO_TEST_CASE(the_rejections_that_a_server_bears_are_read_and_not_passed_on)
+{
+    request_codec::answer_head head;
+    head.result(200);
+    head.insert("Server-Brittle", "6");
+    const auto response = request_codec::decodeResponse(head);
+    BOOST_TEST(response.rejectionsPerSecond.value() == 6u);
+    BOOST_TEST(response.forwardedHeaders.empty());
+    BOOST_TEST(!request_codec::decodeResponse({}).rejectionsPerSecond.has_value());
+}
+
 // Guards against a peer that plans a forwarded request otherwise than the node that its caller has asked.
 BOOST_AUTO_TEST_CASE(forwarded_requests_are_decoded_as_the_caller_sent_them)
 {
