--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 16> kinds { {
+constexpr std::array<std::pair<fault_kind, std::string_view>, 18> kinds { {
     { fault_kind::KillNode, "kill_node" },
     { fault_kind::PauseNode, "pause_node" },
     { fault_kind::StopNode, "stop_node" },
@@ -26,12 +26,17 @@
     { fault_kind::KeyRevoked, "key_revoked" },
     { fault_kind::ConfigurationChanges, "configuration_changes" },
     { fault_kind::DataCentreEvacuated, "data_centre_evacuated" },
+    { fault_kind::NodeCutOff, "node_cut_off" },
+    { fault_kind::ServersBrittle, "servers_brittle" },
 } };
 
-// Evacuations, the last kind, are drawn apart, so that a seed from before them has the faults that it had.
-constexpr std::size_t drawnKinds = kinds.size() - 1;
+// The last kinds are drawn apart, so that a seed from before them has the faults that it had.
+constexpr std::size_t drawnKinds = kinds.size() - 3;
 constexpr std::uint64_t evacuationSalt = 0x9e3779b97f4a7c15;
 constexpr int mostEvacuations = 2;
+constexpr std::uint64_t pathSalt = 0xc2b2ae3d27d4eb4f;
+constexpr int mostCuts = 3;
+constexpr int mostBrittleTimes = 1;
 constexpr auto evacuationLead = std::chrono::seconds(5); // until no request may arrive any more
 // One group of faults begins each second or so: with lengths up to four seconds two or three overlap.
 constexpr auto meanPause = std::chrono::milliseconds(900);
@@ -68,6 +73,21 @@
     }
 }
 
+void addLostPaths(std::vector<planned_fault>& plan, std::uint64_t seed, duration end)
+{
+    std::mt19937_64 random(seed ^ pathSalt);
+    const auto add = [&](fault_kind kind, int most) {
+        for (int i = drawBetween(random, 0, most); i > 0; --i) {
+            planned_fault fault
+                = drawFault(random, duration(drawBetween(random, 0, static_cast<int>(end.count()))));
+            fault.kind = kind;
+            plan.push_back(fault);
+        }
+    };
+    add(fault_kind::NodeCutOff, mostCuts);
+    add(fault_kind::ServersBrittle, mostBrittleTimes);
+}
+
 } // namespace
 
 std::string_view toString(fault_kind kind)
@@ -93,6 +113,7 @@
         }
     }
     addEvacuations(plan, seed, end);
+    addLostPaths(plan, seed, end);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -26,6 +26,8 @@
     ServerLeaves, ///< it drains, and another takes its place
     KeyRevoked, ///< one of two keys is taken away, and given back at the end
     ConfigurationChanges, ///< a new version that changes nothing
+    NodeCutOff, ///< one node's paths to all backend servers misbehave
+    ServersBrittle, ///< the plain servers announce that they bear few rejections
     DataCentreEvacuated, ///< half of the backend servers may get nothing; they are cold at the end
 };
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -32,6 +32,11 @@
 constexpr std::array engineActs { replica_act::StreamCut, replica_act::StreamCutOnce, replica_act::Shed,
     replica_act::ShedUnmarked, replica_act::Cut, replica_act::Hang };
 
+constexpr std::array cutStates { link_state::Lost, link_state::ClosedToNew, link_state::Refusing,
+    link_state::Silent };
+constexpr std::size_t cutNode = 0;
+constexpr unsigned rejectionLimit = 3; // a second
+
 // A replica that comes back after an evacuation.
 constexpr duration coldTime = std::chrono::milliseconds(500);
 
@@ -41,6 +46,17 @@
     return server % 2 == 0 ? "a" : "b";
 }
 
+using path_texts = std::map<std::string, std::string>;
+
+/// What the store tells the node that may be cut off, by what it tells the others.
+path_texts pathTexts(const std::map<std::string, std::unique_ptr<fault_proxy>>& paths)
+{
+    path_texts texts;
+    for (const auto& [text, path] : paths)
+        texts[text] = path->address();
+    return texts;
+}
+
 time_point now()
 {
     return std::chrono::steady_clock::now();
@@ -63,7 +79,7 @@
     }
     m_world.configure(m_version, true);
     for (std::size_t i = 0; i < size.nodes; ++i)
-        m_world.startNode();
+        m_world.startNode(store_mode::Serve, i == cutNode ? pathTexts(m_paths) : path_texts());
     for (std::size_t i = 0; i < size.nodes; ++i)
         m_world.awaitReady(m_world.node(i));
 }
@@ -148,6 +164,15 @@
     case fault_kind::ServerActs:
     case fault_kind::ServerLeaves:
         return beginOnServer(fault);
+    case fault_kind::NodeCutOff:
+        return cutOffNode(fault);
+    case fault_kind::ServersBrittle:
+        for (std::size_t i = 0; i < m_size.servers; ++i)
+            m_servers[m_serving[i]]->announceRejectionLimit(rejectionLimit);
+        return until(fault.lasts, [this] {
+            for (const auto& server : m_servers)
+                server->announceRejectionLimit(std::nullopt);
+        });
     case fault_kind::KeyRevoked:
         return takeKeyAway(fault.lasts);
     case fault_kind::ConfigurationChanges:
@@ -157,6 +182,27 @@
     }
 }
 
+void soak_run::cutOffNode(const planned_fault& fault)
+{
+    ++m_cuts;
+    for (const auto& [text, path] : m_paths)
+        path->set(cutStates.at(fault.variant % cutStates.size()));
+    until(fault.lasts, [this] {
+        if (--m_cuts > 0)
+            return;
+        for (const auto& [text, path] : m_paths)
+            path->set(link_state::Open);
+    });
+}
+
+void soak_run::addPath(const replica_standin& server)
+{
+    const unsigned short port = routed(server.port());
+    m_paths["127.0.0.1:" + std::to_string(port)] = std::make_unique<fault_proxy>(m_proxyThread, port);
+    if (m_world.nodeCount() > cutNode)
+        m_world.store().setSubstitutions(m_world.node(cutNode).storePort, pathTexts(m_paths));
+}
+
 void soak_run::evacuate(const std::string& dataCentre, duration lasts)
 {
     const std::string key = "op/evacuate/" + dataCentre;
@@ -275,6 +321,7 @@
         m_servers.back()->act(replica_act::Stream);
     }
     m_evidence.dataCentres[id] = dataCentreOf(server);
+    addPath(*m_servers.back());
     announce(server, "ready");
 }
 
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -48,6 +48,9 @@
     void beginOnStore(const planned_fault& fault, std::size_t node);
     void beginOnServer(const planned_fault& fault);
     void takeKeyAway(duration lasts);
+    void cutOffNode(const planned_fault& fault);
+    /// Lets the node that may be cut off reach the server by a proxy of its own.
+    void addPath(const platform_standin::replica_standin& server);
     void evacuate(const std::string& dataCentre, duration lasts);
     void replaceServer(std::size_t server);
     void announce(std::size_t server, const std::string& state, duration coldFor = {});
@@ -62,6 +65,9 @@
     platform_standin::standin_thread m_proxyThread;
     std::map<unsigned short, std::unique_ptr<platform_standin::fault_proxy>>
         m_proxies; ///< by the port behind them
+    /// Between the node that may be cut off and each server there ever was, by the text in its entry.
+    std::map<std::string, std::unique_ptr<platform_standin::fault_proxy>> m_paths;
+    unsigned m_cuts = 0; ///< faults that cut the node off now
     soak_size m_size;
     std::uint64_t m_seed;
     std::vector<planned_fault> m_plan;
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -77,6 +77,12 @@
     m_act = act;
 }
 
+void replica_standin::announceRejectionLimit(std::optional<unsigned> perSecond)
+{
+    const std::lock_guard lock(m_mutex);
+    m_rejectionLimit = perSecond;
+}
+
 void replica_standin::setEvents(unsigned events, unsigned cutAt)
 {
     const std::lock_guard lock(m_mutex);
@@ -98,8 +104,14 @@
 
 std::string replica_standin::head(int status, const std::string& requestId, const std::string& more) const
 {
+    std::optional<unsigned> limit;
+    {
+        const std::lock_guard lock(m_mutex);
+        limit = m_rejectionLimit;
+    }
+    const std::string announced = limit ? "Server-Brittle: " + std::to_string(*limit) + "\r\n" : "";
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nLycheefront-Attempt-Id: " + requestId + "\r\n"
-        + more;
+        + announced + more;
 }
 
 boost::asio::awaitable<bool> replica_standin::answer(http_request& request, tcp_socket& socket)
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,9 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
     /// What it does from now on.
     void act(replica_act act);
+    /// Says in all answers that it fails if it has to reject more requests in a second; nothing: says
+    /// nothing.
+    void announceRejectionLimit(std::optional<unsigned> perSecond);
     /// Events of a stream, and the one in which StreamCut breaks off.
     void setEvents(unsigned events, unsigned cutAt);
     /// All requests that reached it.
@@ -82,6 +86,7 @@
     replica_act m_act = replica_act::Answer;
     unsigned m_events = 5;
     unsigned m_cutAt = 3;
+    std::optional<unsigned> m_rejectionLimit;
     unsigned m_abandoned = 0;
     std::vector<replica_request> m_requests;
 };
