The load bound counts from the mean of the whole service, emptied engines included

Now the mean counts all servers with an entry: those of emptied data centres, draining, silent, tried, not allowed.

--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -122,12 +122,22 @@
                 penaltyOf(candidate), false });
     }
     if (!views.empty())
-        boundEngines(views, sum / static_cast<double>(candidates.size()));
+        boundEngines(views, meanLoads(sum, candidates.size(), query.excluded));
     return views;
 }
 
-void server_choice::boundEngines(std::vector<engine_view>& views, double mean)
+server_choice::mean_loads server_choice::meanLoads(
+    double requests, std::size_t candidates, const excluded_servers& excluded)
 {
+    const auto inUse = static_cast<double>(candidates);
+    const auto all = static_cast<double>(candidates + excluded.count);
+    return { requests / inUse, (requests + excluded.requests) / all };
+}
+
+void server_choice::boundEngines(std::vector<engine_view>& views, const mean_loads& means)
+{
+    // Where so many engines are excluded that the others cannot stay within the bound, they exceed it evenly.
+    const double mean = std::max(means.ofService, evenFactor * means.ofCandidates / boundFactor);
     // Engines of low weight have the same bound: with a lower one, all engines could be above their bounds,
     // and then the few engines without a penalty got all further requests.
     const double bound = boundFactor * mean + boundExtra;
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -36,6 +36,13 @@
     bool isUnexpected = false; ///< the server is not the first of the parts' ranking, where other nodes look
 };
 
+/// The servers of a service that are no candidates, because their data centre is being emptied, they drain or
+/// the request may not run there. Their load counts in the mean of the service.
+struct excluded_servers {
+    std::size_t count = 0;
+    double requests = 0; ///< of all nodes, in progress there
+};
+
 /// The request to be placed.
 struct placement_query {
     std::span<const prompt_part> parts; ///< of the prompt, shared ones first; empty for a plain service
@@ -45,6 +52,7 @@
     int urgency = 0; ///< 0 is the most urgent
     utils::duration target = std::chrono::seconds(1); ///< time to the first byte of the answer
     response_times times = response_times(); ///< response times of the service
+    excluded_servers excluded {};
 };
 
 /// An engine from which another one can copy cached parts of a prompt instead of computing them (prefill).
@@ -76,6 +84,8 @@
     /// old.
     static constexpr double boundFactor = 1.8;
     static constexpr double boundExtra = 2.8;
+    /// The least bound, as a multiple of the mean load of the candidates.
+    static constexpr double evenFactor = 1.1;
     /// Cost of prefilling a token of this prompt, relative to a token of another prompt that waits there. A
     /// short wait is within every target, while a part that is prefilled on a second engine delays all
     /// requests that run there and takes memory.
@@ -155,6 +165,11 @@
     std::optional<placement> chooseEngine(const std::vector<server_candidate>& candidates,
         const placement_query& query, const server_loads& loads, utils::time_point now) const;
     /// State of an engine that may be chosen.
+    /// Requests in progress at an engine, in the mean.
+    struct mean_loads {
+        double ofCandidates = 0;
+        double ofService = 0; ///< of the candidates and the excluded servers
+    };
     struct engine_view {
         const server_candidate* candidate = nullptr;
         load_total load;
@@ -174,7 +189,8 @@
     static bool isUnexpected(const utils::server_id& server, const std::vector<server_candidate>& candidates,
         std::span<const prompt_part> parts);
     /// Marks the engines within the bound, and gives highly loaded engines the largest penalty of all.
-    static void boundEngines(std::vector<engine_view>& views, double mean);
+    static void boundEngines(std::vector<engine_view>& views, const mean_loads& means);
+    static mean_loads meanLoads(double requests, std::size_t candidates, const excluded_servers& excluded);
     /// Returns the candidate that comes first in a ranking, whatever its weight; null if there is none.
     static const server_candidate* firstOfRanking(
         const std::vector<server_candidate>& candidates, std::uint64_t key);
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -107,6 +107,23 @@
         failures };
 }
 
+/// The servers of the service that are not among the candidates. Precondition: these are ordered by id.
+decisions::excluded_servers excludedServers(const node_context& context, const std::string& service,
+    const std::vector<decisions::server_candidate>& candidates, utils::time_point now)
+{
+    decisions::excluded_servers excluded;
+    auto next = candidates.begin();
+    for (const catalogue::backend_server* server : context.servers.present(service)) {
+        while (next != candidates.end() && next->id < server->id)
+            ++next;
+        if (next != candidates.end() && next->id == server->id)
+            continue;
+        ++excluded.count;
+        excluded.requests += context.loads.total(server->id, now).requests;
+    }
+    return excluded;
+}
+
 } // namespace
 
 utils::result<request_plan> planRequest(
@@ -200,8 +217,10 @@
     };
     if (std::ranges::any_of(candidates, isResponsive))
         std::erase_if(candidates, [&](const auto& candidate) { return !isResponsive(candidate); });
-    const decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre, salt,
+    decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre, salt,
         plan.urgency, plan.route->targetLatency, context.responseTimesOf(plan.service) };
+    if (plan.isEngine)
+        query.excluded = excludedServers(context, plan.service, candidates, now);
     return context.choice.choose(candidates, query, context.loads, now);
 }
 
