--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -75,11 +75,14 @@
     /// service; nothing if the attempt goes to a server.
     std::optional<forward_target> choosePeer() const
     {
-        if (m_request.hop)
-            return std::nullopt;
         const bool isOutOfReach
             = m_context.reachability.isCutOff(m_plan.service) || m_record.unsent() >= unsentBeforeForward;
-        if (!isOutOfReach)
+        return isOutOfReach ? nextPeer() : std::nullopt;
+    }
+
+    std::optional<forward_target> nextPeer() const
+    {
+        if (m_request.hop)
             return std::nullopt;
         return m_forwarder.choose(m_plan, m_triedPeers, m_requestNumber * 31 + m_record.attempts(), now());
     }
@@ -98,16 +101,18 @@
             logFailedAttempt(m_request, describeFailure(startedAt));
         m_context.metrics.countForward(m_plan.service, m_result.lastOutcome);
         m_record.addForwarded(m_result.lastOutcome);
-        if (m_result.lastOutcome == attempt_outcome::Answered && m_relay.peerFailure())
-            m_result.failure = utils::makeFailure(*m_relay.peerFailure());
-        co_return !isOverload(m_relay.peerFailure());
+        if (!m_relay.peerFailure())
+            co_return true;
+        m_lastRefusal = *m_relay.peerFailure();
+        if (m_result.lastOutcome == attempt_outcome::Answered)
+            m_result.failure = utils::makeFailure(m_lastRefusal);
+        co_return !isOverload(m_lastRefusal);
     }
 
     /// Whether a peer has refused the request because of the load of the servers, which other peers see too.
-    static bool isOverload(std::optional<utils::error_kind> peerFailure)
+    static bool isOverload(utils::error_kind refusal)
     {
-        return peerFailure == utils::error_kind::QueueFull
-            || peerFailure == utils::error_kind::DeadlineUnreachable;
+        return refusal == utils::error_kind::QueueFull || refusal == utils::error_kind::DeadlineUnreachable;
     }
 
     boost::asio::awaitable<attempt_outcome> forwardTo(const forward_target& peer)
@@ -150,8 +155,15 @@
             co_await waitForRoom();
             co_return true;
         }
-        if (!placement)
-            co_return false;
+        if (!placement) {
+            // Which nodes may send to a cold server differs from server to server.
+            const bool mayAskPeer = m_plan.coldStart && m_triedPeers.empty()
+                && !m_context.servers.usable(m_plan.service).empty();
+            const std::optional<forward_target> peer = mayAskPeer ? nextPeer() : std::nullopt;
+            if (!peer)
+                co_return false;
+            co_return co_await tryPeer(*peer);
+        }
         m_result.placement = *placement;
         m_result.server = placement->server;
         m_result.forwardedTo.clear();
@@ -329,17 +341,19 @@
             m_writer.closeAfterResponse();
             co_return;
         }
-        if (m_relay.peerFailure() && !m_record.hasProvablyNotRun())
-            m_relay.dropFallback();
         if (m_relay.hasFallback()) {
-            if (m_relay.peerFailure())
-                m_result.failure = utils::makeFailure(*m_relay.peerFailure());
             const attempt_outcome outcome = co_await m_relay.sendFallback();
             if (outcome == attempt_outcome::Answered) {
                 m_result.lastOutcome = outcome;
                 co_return;
             }
         }
+        if (m_relay.hasPeerRefusal() && m_record.hasProvablyNotRun()
+            && m_result.stopReason == stop_reason::None) {
+            m_result.failure = utils::makeFailure(m_lastRefusal);
+            (void)co_await m_relay.sendPeerRefusal();
+            co_return;
+        }
         utils::error_kind kind = m_record.finalErrorKind();
         if (kind == utils::error_kind::NoServer && m_context.rejections.isLimited(m_plan.service, now()))
             kind = utils::error_kind::QueueFull;
@@ -376,6 +390,7 @@
     attempt_tracker m_tracker;
     std::set<utils::server_id> m_triedServers;
     std::set<std::string> m_triedPeers;
+    utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
     utils::duration m_waitedForRoom {};
     flow_result m_result;
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -121,8 +121,14 @@
 
     /// The kind of failure that the last peer has answered with; nothing if it has answered otherwise.
     std::optional<utils::error_kind> peerFailure() const { return m_peerFailure; }
-    /// Drops the kept response.
-    void dropFallback() { m_fallback.reset(); }
+    /// Whether a peer's refusal is kept. It says that the request has not run.
+    bool hasPeerRefusal() const { return m_peerRefusal.has_value(); }
+    /// Forwards the kept refusal. Precondition: hasPeerRefusal().
+    boost::asio::awaitable<attempt_outcome> sendPeerRefusal()
+    {
+        m_result.status = m_peerRefusal->status;
+        co_return co_await forwardBuffered(std::move(*m_peerRefusal), std::move(m_peerRefusalBody));
+    }
     /// Whether an error response is kept, to be forwarded if no later attempt succeeds.
     bool hasFallback() const { return m_fallback.has_value(); }
     /// Forwards the kept error response. Precondition: hasFallback().
@@ -150,13 +156,13 @@
         m_peerFailure = utils::errorKindFromProblem(body);
         if (!m_peerFailure || m_writer.hasBegun())
             co_return attempt_outcome::Garbled;
-        m_result.status = response.status;
         const utils::error_answer& answer = utils::answerFor(*m_peerFailure);
         if (answer.run == utils::run_state::NotRun && answer.hasRetryAfter) {
-            m_fallback = std::move(response);
-            m_fallbackBody = std::move(body);
+            m_peerRefusal = std::move(response);
+            m_peerRefusalBody = std::move(body);
             co_return attempt_outcome::NotRun;
         }
+        m_result.status = response.status;
         co_return co_await forwardBuffered(std::move(response), std::move(body));
     }
 
@@ -328,6 +334,8 @@
     std::string m_fallbackBody;
     bool m_isFromPeer = false; ///< the last response came from a peer
     std::optional<utils::error_kind> m_peerFailure;
+    std::optional<server_response> m_peerRefusal;
+    std::string m_peerRefusalBody;
     utils::time_point m_lastEventsAt {}; ///< when the last events were forwarded
 };
 
--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -232,4 +232,21 @@
     BOOST_TEST(pressRequests() == before + 1);
 }
 
+// Guards against a "not run" for a request that a peer may have run, and against a refusal of a peer that
+// says less than it knows.
+BOOST_FIXTURE_TEST_CASE(callers_are_told_what_the_peer_knows_of_their_request, cut_testbed)
+{
+    cutOff();
+    for (std::size_t i = 0; i < replicas; ++i)
+        press(i).act(platform_standin::replica_act::Shed);
+    const http_reply refused = ask(node(0), question("POST", "/pay/1", "5"));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.headers.contains("Retry-After"));
+    for (std::size_t i = 0; i < replicas; ++i)
+        press(i).act(platform_standin::replica_act::Cut);
+    const http_reply cut = ask(node(0), question("POST", "/pay/1", "5"));
+    BOOST_TEST(cut.status == 502);
+    BOOST_TEST(!cut.headers.contains("Retry-After"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
