--- a/tests/auto/decisions/tst_peerchoice.cpp
+++ b/tests/auto/decisions/tst_peerchoice.cpp
@@ -35,8 +35,10 @@
 BOOST_AUTO_TEST_CASE(requests_of_several_nodes_are_spread_between_two_heartbeats)
 {
     for (const std::size_t takers : { 3U, 30U }) {
-        const auto taken = forwardBetweenHeartbeats(4, takers, 3 * takers);
-        const std::uint64_t mean = 4 * 3;
+        constexpr std::size_t cutOff = 4;
+        constexpr std::size_t perTaker = 3;
+        const auto taken = forwardBetweenHeartbeats(cutOff, takers, perTaker * takers);
+        constexpr std::uint64_t mean = cutOff * perTaker;
         BOOST_TEST(*std::ranges::max_element(taken) <= 2 * mean);
     }
 }
