Many servers that crashed at once are not taken for the loss of a node's own path

For services with four servers or more only failures of probes to servers drawn at random decide now.

--- a/src/libs/decisions/serverreachability.cpp
+++ b/src/libs/decisions/serverreachability.cpp
@@ -1,13 +1,20 @@
 #include "serverreachability.h"
 
+#include "utils/hashing.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace decisions {
 
+namespace {
+
+constexpr std::size_t largeService = 4; // servers; of that many, two may be down at once
+
+} // namespace
+
 std::size_t server_reachability::decisiveServers(std::size_t servers)
 {
-    // Of many servers two may be down at once.
-    constexpr std::size_t largeService = 4;
     constexpr std::size_t ofLarge = 3;
     constexpr std::size_t ofSmall = 2;
     return servers >= largeService ? ofLarge : std::clamp<std::size_t>(servers, 1, ofSmall);
@@ -38,7 +45,10 @@
     state.accepted.clear();
     std::erase_if(state.failedAt, [now](const auto& entry) { return now - entry.second > evidenceLifetime; });
     state.failedAt[server] = now;
-    if (state.isCutOff || state.failedAt.size() < decisiveServers(servers))
+    const auto isDecisive
+        = [&](const auto& entry) { return servers < largeService || state.probed.contains(entry.first); };
+    const auto decisive = static_cast<std::size_t>(std::ranges::count_if(state.failedAt, isDecisive));
+    if (state.isCutOff || decisive < decisiveServers(servers))
         return false;
     state.isCutOff = true;
     return true;
@@ -85,16 +95,17 @@
     if ((!isInDoubt && state.suspects.empty()) || now - state.probedAt < probeInterval)
         return {};
     state.probedAt = now;
-    std::vector<utils::server_id> probes(state.suspects.begin(), state.suspects.end());
-    state.suspects.clear();
-    for (std::size_t i = 0;
-         isInDoubt && i < servers.size() && probes.size() < decisiveServers(servers.size()); ++i) {
-        const utils::server_id& server = servers[state.nextProbe++ % servers.size()];
-        const bool isKnown = !state.isCutOff && state.failedAt.contains(server);
-        if (!isKnown && std::ranges::find(probes, server) == probes.end())
-            probes.push_back(server);
+    state.probed.clear();
+    const std::size_t wanted = isInDoubt ? decisiveServers(servers.size()) : 0;
+    // Drawing again costs nothing; the limit ends the search where few servers are left to draw.
+    constexpr std::size_t drawsPerProbe = 8;
+    for (std::size_t i = 0; i < drawsPerProbe * wanted && state.probed.size() < wanted; ++i) {
+        const std::uint64_t draw = utils::combineHashes(m_seed, state.draws++);
+        state.probed.insert(servers[draw % servers.size()]);
     }
-    return probes;
+    std::set<utils::server_id> probes = std::exchange(state.suspects, {});
+    probes.insert(state.probed.begin(), state.probed.end());
+    return { probes.begin(), probes.end() };
 }
 
 } // namespace decisions
--- a/src/libs/decisions/serverreachability.h
+++ b/src/libs/decisions/serverreachability.h
@@ -3,6 +3,7 @@
 #include "utils/ids.h"
 #include "utils/time.h"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <span>
@@ -21,7 +22,8 @@
 ///
 /// The node is cut off once connections have failed at several servers with no success in between, and no
 /// longer once as many have accepted connections with no failure in between. After a first failure, or when a
-/// server falls silent, other servers are probed, so that a node with few requests finds out as soon.
+/// server falls silent, servers drawn at random are probed. Only their failures decide where a service has
+/// many servers: requests prefer servers that seem idle, and among those the ones that have just crashed.
 /// Not thread safe.
 class server_reachability {
 public:
@@ -30,6 +32,12 @@
     /// Shortest time between two rounds of probes of a service.
     static constexpr utils::duration probeInterval = std::chrono::milliseconds(500);
 
+    /// `seed`: draws the servers to probe; differs from node to node.
+    explicit server_reachability(std::uint64_t seed)
+        : m_seed(seed)
+    {
+    }
+
     /// Returns how many distinct servers decide, in either direction, for a service with that many.
     static std::size_t decisiveServers(std::size_t servers);
 
@@ -52,8 +60,7 @@
     /// Whether nextProbes() may return any server.
     bool needsProbes(const std::string& service) const;
     /// Returns the servers to which a connection should be tried now: some while the service is cut off or a
-    /// failure is recent, the suspected ones, and none if the last round is recent. Rounds take turns over
-    /// all servers.
+    /// failure is recent, the suspected ones, and none if the last round is recent.
     std::vector<utils::server_id> nextProbes(
         const std::string& service, std::span<const utils::server_id> servers, utils::time_point now);
 
@@ -64,9 +71,11 @@
         std::set<utils::server_id> suspects;
         bool isCutOff = false;
         utils::time_point probedAt {};
-        std::size_t nextProbe = 0;
+        std::set<utils::server_id> probed; ///< drawn in the last round
+        std::uint64_t draws = 0;
     };
 
+    std::uint64_t m_seed;
     std::map<std::string, service_state> m_services;
 };
 
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 
 #include "utils/eventlog.h"
+#include "utils/hashing.h"
 
 #include <algorithm>
 
@@ -53,6 +54,7 @@
     , options(std::move(nodeOptions))
     , servers(settleTime)
     , health(healthLimits())
+    , reachability(utils::hash64(options.name))
     , poison(poisonLimits())
     , pool(idleConnectionTimeout)
     , window(windowLimits(options.stopGrace), now())
