A doc comment stands before its struct again

The comment of engine_view had slipped before mean_loads when that was added, so mean_loads had two and engine_view none. Comment only; found on a last read of the change.

--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -164,12 +164,12 @@
         const placement_query& query, const server_loads& loads, utils::time_point now) const;
     std::optional<placement> chooseEngine(const std::vector<server_candidate>& candidates,
         const placement_query& query, const server_loads& loads, utils::time_point now) const;
-    /// State of an engine that may be chosen.
     /// Requests in progress at an engine, in the mean.
     struct mean_loads {
         double ofCandidates = 0;
         double ofService = 0; ///< of the candidates and the excluded servers
     };
+    /// State of an engine that may be chosen.
     struct engine_view {
         const server_candidate* candidate = nullptr;
         load_total load;
