--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -54,6 +54,8 @@
     /// Whether it is certain that no attempt has run.
     bool hasProvablyNotRun() const { return m_mayHaveRun == 0; }
     unsigned attempts() const { return m_attempts; }
+    /// Attempts that were sent, those of the nodes that have forwarded the request included.
+    unsigned sent() const { return m_sent; }
     /// Attempts that sent nothing.
     unsigned unsent() const { return m_unsent; }
     /// Attempts that may have run the request.
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -17,6 +17,7 @@
     int status = 0; ///< HTTP status of the response
     attempt_outcome lastOutcome = attempt_outcome::NotSent;
     unsigned attempts = 0;
+    unsigned sent = 0; ///< attempts that reached a server of the service, those of earlier nodes included
     utils::server_id server; ///< of the last attempt
     std::string serverDataCentre;
     std::string forwardedTo; ///< the peer of the last attempt; empty if that was at a server
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -102,7 +102,7 @@
         return events;
     }
 
-    node_gauges gauges() const
+    node_gauges gauges()
     {
         const utils::time_point present = now();
         node_gauges gauges;
@@ -123,6 +123,9 @@
         gauges.timerLagSeconds = utils::toSeconds(m_timerLag);
         gauges.droppedLogLines = static_cast<double>(utils::droppedLines());
         gauges.isStoreReachable = m_viewUpdater.isStoreReachable();
+        gauges.uptimeSeconds = utils::toSeconds(present - m_context.startedAt);
+        for (auto& [service, allowance] : m_context.repeats)
+            gauges.retriesLeft.emplace_back(service, allowance.left(present));
         return gauges;
     }
 
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -58,6 +58,7 @@
     , poison(poisonLimits())
     , pool(idleConnectionTimeout)
     , window(windowLimits(options.stopGrace), now())
+    , startedAt(now())
 {
 }
 
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -70,6 +70,7 @@
     std::uint64_t nextRequestNumber = 1;
     decisions::fleet_size fleetSize;
     decisions::service_window window; ///< when the node accepts requests
+    utils::time_point startedAt; ///< of this process
     utils::time_point evidenceAt {}; ///< last time the configuration in force was known to be the newest
 
     /// The allowance of repeats at a service.
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -52,7 +52,7 @@
     counter_family& attempts
         = counters("lycheefront_attempts_total", "Attempts at backend servers, by service and end");
     counter_family& repeats
-        = counters("lycheefront_repeats_total", "Attempts that were repeats at the service");
+        = counters("lycheefront_repeats_total", "Attempts sent that were retries at the service");
     counter_family& coldRequests
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
     counter_family& connects = counters(
@@ -95,6 +95,12 @@
     prometheus::Gauge& dropped = gauge("lycheefront_log_lines_dropped", "Lines that nobody read in time");
     prometheus::Gauge& timerLag
         = gauge("lycheefront_work_late_seconds", "How late the last thing due at a set time was done");
+    prometheus::Family<prometheus::Gauge>& retriesLeft
+        = prometheus::BuildGauge()
+              .Name("lycheefront_retries_left")
+              .Help("Retries that this node's part of the budget still allows, by service")
+              .Register(registry);
+    prometheus::Gauge& uptime = gauge("lycheefront_uptime_seconds", "Time since the process started");
     prometheus::Gauge& store = gauge("lycheefront_store_reachable", "1 while the store answers this node");
 };
 
@@ -120,7 +126,7 @@
 void node_metrics::countAttempt(std::string_view service, attempt_outcome end, bool isRetry)
 {
     d->attempts.Add({ { "service", str(service) }, { "end", str(toString(end)) } }).Increment();
-    if (isRetry)
+    if (isRetry && attempt_record::isSent(end))
         d->repeats.Add({ { "service", str(service) } }).Increment();
 }
 
@@ -179,6 +185,9 @@
     d->dropped.Set(gauges.droppedLogLines);
     d->timerLag.Set(gauges.timerLagSeconds);
     d->store.Set(gauges.isStoreReachable ? 1 : 0);
+    d->uptime.Set(gauges.uptimeSeconds);
+    for (const auto& [service, left] : gauges.retriesLeft)
+        d->retriesLeft.Add({ { "service", service } }).Set(left);
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
 }
 
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace gateway {
 
@@ -32,7 +34,9 @@
     double residentBytes = 0;
     double droppedLogLines = 0;
     double timerLagSeconds = 0; ///< of the last heartbeat
+    double uptimeSeconds = 0; ///< since the process started
     bool isStoreReachable = false;
+    std::vector<std::pair<std::string, double>> retriesLeft; ///< in this node's budget, by service
 };
 
 /// The counters, histograms and gauges of one node, in one registry. Names follow the conventions of
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -61,6 +61,7 @@
                 break;
         }
         m_result.attempts = m_record.attempts();
+        m_result.sent = m_record.sent();
         m_result.stopReason = m_scope->reason();
         m_result.events = m_relay.eventCount();
         if (m_result.lastOutcome != attempt_outcome::Answered)
@@ -212,6 +213,8 @@
         attempt.took = now() - startedAt;
         if (m_record.isSent(m_result.lastOutcome))
             attempt.silentFor = m_tracker.silentFor(now());
+        attempt.isRetry = m_record.isRetry();
+        attempt.uptime = now() - m_context.startedAt;
         attempt.repeatsLeft = m_context.repeatsOf(m_plan.service).left(now());
         attempt.viewAge = m_result.viewAge;
         attempt.viewBehind = m_result.viewBehind;
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -32,6 +32,7 @@
         fields.push_back({ "evidence_ms", millisecondsText(now - context.evidenceAt) });
     fields.push_back({ "ms", millisecondsText(now - request.arrivedAt) });
     fields.push_back({ "attempts", std::to_string(result.attempts) });
+    fields.push_back({ "sent", std::to_string(result.sent) });
     fields.push_back({ "last", std::string(toString(result.lastOutcome)) });
     if (plan.route != nullptr) {
         fields.push_back({ "view_age_ms", millisecondsText(result.viewAge) });
@@ -89,7 +90,8 @@
     std::vector<utils::log_field> fields { { "request", request.requestId },
         { isForwarded ? "forwarded_to" : "server", isForwarded ? attempt.forwardedTo : attempt.server.str() },
         { "end", std::string(toString(attempt.outcome)) }, { "ms", millisecondsText(attempt.took) },
-        { "silent_ms", millisecondsText(attempt.silentFor) },
+        { "silent_ms", millisecondsText(attempt.silentFor) }, { "retry", attempt.isRetry ? "yes" : "no" },
+        { "uptime_ms", millisecondsText(attempt.uptime) },
         { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) },
         { "view_age_ms", millisecondsText(attempt.viewAge) },
         { "view_behind_ms", millisecondsText(attempt.viewBehind) } };
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -18,6 +18,8 @@
     std::string connectError; ///< why no connection was opened; empty if one was
     utils::duration took {};
     utils::duration silentFor {}; ///< since data of the response arrived, or since the request was sent
+    bool isRetry = false; ///< it was a retry at the service, if it was sent
+    utils::duration uptime {}; ///< since this process started
     double repeatsLeft = 0; ///< left in the service's budget on this node
     utils::duration viewAge {}; ///< age of the view of the backend servers at the attempt
     utils::duration viewBehind {}; ///< time since changes were known to be missing then
