Retries: a process spends no fixed part in its first window, and its share soon

Cause: a bound over a window lived in each process's memory and was granted anew at each start. Hypothesis 2, found by tst_retryhistories: the share of requests could be saved for a window, spent before a kill, and earned again by the next process; without a restart the same between nodes whose callers move. Ruled out: slices and stalled processes (histories that stand still break nothing).

Change: the fixed part is spent after a full window of the process's life; the share within a quarter of a window. Retries of a window come from the requests of 1.275 windows at 0.15 each, under the 0.2 allowed, by whichever processes.

The testbed of single requests now lets each request earn its retries (ratio in its settings); what they check of retries is unchanged.

--- a/src/libs/decisions/repeatallowance.cpp
+++ b/src/libs/decisions/repeatallowance.cpp
@@ -13,6 +13,12 @@
     return time.time_since_epoch() / sliceLength;
 }
 
+/// The oldest slice of an interval that ends now. It is still partly inside.
+std::int64_t oldestOf(utils::duration interval, utils::time_point now)
+{
+    return indexOf(now - interval) - 1;
+}
+
 } // namespace
 
 void repeat_allowance::forwarded(utils::time_point now)
@@ -22,9 +28,14 @@
 
 bool repeat_allowance::trySpend(utils::time_point now)
 {
-    if (left(now) < 1)
+    dropOld(now);
+    const double share = shareLeft(now);
+    if (share + extraLeft(now) < 1)
         return false;
-    ++current(now).repeated;
+    slice& spent = current(now);
+    const double ofShare = std::min(1.0, share);
+    spent.spentOfShare += ofShare;
+    spent.spentOfExtra += 1 - ofShare;
     return true;
 }
 
@@ -36,33 +47,42 @@
 double repeat_allowance::left(utils::time_point now)
 {
     dropOld(now);
-    double forwarded = 0;
-    double repeated = 0;
+    return shareLeft(now) + extraLeft(now);
+}
+
+double repeat_allowance::shareLeft(utils::time_point now) const
+{
+    const std::int64_t oldest = oldestOf(m_limits.window / shareWindowsPerWindow, now);
+    double left = 0;
     for (const slice& part : m_slices) {
-        forwarded += part.forwarded;
-        repeated += part.repeated;
+        if (part.index >= oldest)
+            left += safetyFactor * m_limits.ratio * part.forwarded - part.spentOfShare;
     }
-    return safetyFactor * m_limits.ratio * forwarded + ownExtra() - repeated;
+    return std::max(0.0, left);
 }
 
-double repeat_allowance::ownExtra() const
+double repeat_allowance::extraLeft(utils::time_point now) const
 {
+    if (now - m_startedAt < m_limits.window)
+        return 0;
     const double total = safetyFactor * m_limits.extra;
-    return m_nodes == 0 ? std::min(extraInUnknownFleet, total) : total / m_nodes;
+    double left = m_nodes == 0 ? std::min(extraInUnknownFleet, total) : total / m_nodes;
+    for (const slice& part : m_slices)
+        left -= part.spentOfExtra;
+    return std::max(0.0, left);
 }
 
 repeat_allowance::slice& repeat_allowance::current(utils::time_point now)
 {
     const std::int64_t index = indexOf(now);
     if (m_slices.empty() || m_slices.back().index != index)
-        m_slices.push_back({ index, 0, 0 });
+        m_slices.push_back({ index, 0, 0, 0 });
     return m_slices.back();
 }
 
 void repeat_allowance::dropOld(utils::time_point now)
 {
-    // Keeps one slice more than the window, since the oldest slice is still partly inside it.
-    const std::int64_t oldest = indexOf(now - m_limits.window) - 1;
+    const std::int64_t oldest = oldestOf(m_limits.window, now);
     while (!m_slices.empty() && m_slices.front().index < oldest)
         m_slices.pop_front();
 }
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -64,7 +64,7 @@
 
 decisions::repeat_allowance& node_context::repeatsOf(const std::string& service)
 {
-    auto& allowance = repeats.try_emplace(service, options.repeats, 0).first->second;
+    auto& allowance = repeats.try_emplace(service, options.repeats, 0, startedAt).first->second;
     if (const unsigned nodes = fleetSize.nodes(); nodes > 0)
         allowance.setNodes(std::max(nodes, minNodes));
     return allowance;
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -65,6 +65,8 @@
     void announce(const platform_standin::replica_standin& replica, const std::string& service,
         const replica_entry& entry);
     void withdraw(const platform_standin::replica_standin& replica);
+    /// Sets the retries that all nodes started from now on may send per request.
+    void setRetryRatio(double ratio) { m_retryRatio = ratio; }
     /// Starts a node, with the nodes started before as its seeds. `substitutions`: texts that the store tells
     /// this node otherwise than the others, by the text that it tells those.
     gateway_node& startNode(platform_standin::store_mode mode = platform_standin::store_mode::Serve,
@@ -99,12 +101,15 @@
     std::string m_folder;
     unsigned short m_peerPort = 0;
     unsigned m_nextId = 1;
+    double m_retryRatio = 0.2; ///< as the platform's sheets have it
 };
 
-/// A testbed with one node that is ready.
+/// A testbed with one node that is ready. Each request earns its own retries: those that a process which has
+/// just started is allowed depend on the requests before.
 struct ready_testbed : gateway_testbed {
     ready_testbed()
     {
+        setRetryRatio(4);
         configure(1);
         startNode();
         awaitReady(node(0));
