Forwarded requests carry the attempts that servers have rejected

A peer's refusal that shows that nothing was sent no longer makes the next attempt a retry.

The malformed hops listed 1-2-3-4, which is now valid; 1-2-3-, which was taken by mistake, 1-2-3-2 and 1-2-3-4-5 are refused in its place.

--- a/src/libs/gateway/attempt.cpp
+++ b/src/libs/gateway/attempt.cpp
@@ -40,16 +40,19 @@
     }
 }
 
-void attempt_record::addForwarded(attempt_outcome outcome)
+void attempt_record::addForwarded(attempt_outcome outcome, bool hasSent)
 {
+    const unsigned sentBefore = m_sent;
     add(outcome);
+    if (!hasSent)
+        m_sent = sentBefore;
     if (m_mayHaveRun > 0)
         m_mayHaveRun = std::max(m_mayHaveRun, m_maxRuns);
 }
 
-void attempt_record::addEarlierRuns(unsigned runs)
+void attempt_record::addEarlier(unsigned runs, unsigned sent)
 {
-    m_sent += runs;
+    m_sent += sent;
     m_mayHaveRun += runs;
 }
 
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -37,10 +37,12 @@
     }
 
     void add(attempt_outcome outcome);
-    /// Records an attempt by way of a peer, which may have used all runs that are left.
-    void addForwarded(attempt_outcome outcome);
-    /// Records attempts of the node that has forwarded the request to this one and that may have run it.
-    void addEarlierRuns(unsigned runs);
+    /// Records an attempt by way of a peer, which may have used all runs that are left. `hasSent`: the peer
+    /// may have sent the request to a server.
+    void addForwarded(attempt_outcome outcome, bool hasSent);
+    /// Records attempts of the node that has forwarded the request to this one: `sent` reached servers, and
+    /// `runs` of these may have run it.
+    void addEarlier(unsigned runs, unsigned sent);
 
     /// Whether another attempt is allowed.
     bool mayRetry() const;
--- a/src/libs/gateway/forwardhop.cpp
+++ b/src/libs/gateway/forwardhop.cpp
@@ -34,17 +34,27 @@
 
 std::string encodeHop(const forward_hop& hop)
 {
-    return hex(hop.receiver) + separator + hex(hop.configurationVersion) + separator + hex(hop.earlierRuns);
+    std::string text
+        = hex(hop.receiver) + separator + hex(hop.configurationVersion) + separator + hex(hop.earlierRuns);
+    // Builds that do not know the last number read a hop without it.
+    if (hop.earlierSent > hop.earlierRuns)
+        text += separator + hex(hop.earlierSent);
+    return text;
 }
 
 std::optional<forward_hop> decodeHop(std::string_view text)
 {
+    if (text.ends_with(separator))
+        return std::nullopt;
     const auto receiver = takeNumber<std::uint64_t>(text);
     const auto version = receiver ? takeNumber<std::uint64_t>(text) : std::nullopt;
     const auto runs = version ? takeNumber<unsigned>(text) : std::nullopt;
-    if (!runs || !text.empty())
+    if (!runs)
+        return std::nullopt;
+    const auto sent = text.empty() ? runs : takeNumber<unsigned>(text);
+    if (!sent || *sent < *runs || !text.empty())
         return std::nullopt;
-    return forward_hop { *receiver, *version, *runs };
+    return forward_hop { *receiver, *version, *runs, *sent };
 }
 
 } // namespace gateway
--- a/src/libs/gateway/forwardhop.h
+++ b/src/libs/gateway/forwardhop.h
@@ -17,6 +17,9 @@
     /// the configuration must not go back for the callers of any node.
     std::uint64_t configurationVersion = 0;
     unsigned earlierRuns = 0; ///< attempts so far that may have run the request
+    /// Attempts so far that reached servers, at least `earlierRuns`. Those that servers rejected have not
+    /// run, but what the receiver sends after them are retries all the same.
+    unsigned earlierSent = 0;
 };
 
 /// Name of the header line; a line of this name from a caller is dropped.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -45,7 +45,8 @@
 
     boost::asio::awaitable<flow_result> run()
     {
-        m_record.addEarlierRuns(m_request.hop ? m_request.hop->earlierRuns : 0);
+        if (m_request.hop)
+            m_record.addEarlier(m_request.hop->earlierRuns, m_request.hop->earlierSent);
         m_context.rejections.recordArrival(m_plan.service, now());
         while (m_scope->checkDeadline(now()) == stop_reason::None) {
             recordViewAge();
@@ -101,10 +102,12 @@
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
         m_context.metrics.countForward(m_plan.service, m_result.lastOutcome);
-        m_record.addForwarded(m_result.lastOutcome);
-        if (!m_relay.peerFailure())
+        const std::optional<utils::error_kind> failure = m_relay.peerFailure();
+        const bool isUnsent = m_result.lastOutcome == attempt_outcome::NotRun && !isOverload(*failure);
+        m_record.addForwarded(m_result.lastOutcome, !isUnsent);
+        if (!failure)
             co_return true;
-        m_lastRefusal = *m_relay.peerFailure();
+        m_lastRefusal = *failure;
         if (m_result.lastOutcome == attempt_outcome::Answered)
             m_result.failure = utils::makeFailure(m_lastRefusal);
         co_return !isOverload(m_lastRefusal);
@@ -134,7 +137,8 @@
         server_request request;
         request.callerTimeLeft = std::max(utils::duration::zero(), m_plan.callerDeadline - now());
         request.lastEventId = m_relay.lastEventId();
-        const forward_hop hop { peer.bootId, m_plan.configuration->version, m_record.possibleRuns() };
+        const forward_hop hop { peer.bootId, m_plan.configuration->version, m_record.possibleRuns(),
+            m_record.sent() };
         const header_line line { std::string(forwardHopHeader), encodeHop(hop) };
         std::string head = Wire::encodeForward(m_request, request, line);
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
