Cold and brittle servers: a process that has just started waits before it sends to them

A killed node could send its part of a cold server's second again once it knew the fleet (after 1 s, its window is 1.25 s), and to a server that had just rejected the process before it. Both wait now as if the process had sent, or been rejected, right at its start.

--- a/src/libs/decisions/coldstart.cpp
+++ b/src/libs/decisions/coldstart.cpp
@@ -61,13 +61,15 @@
     const double senders = std::clamp(std::floor(perSecond), 1.0, nodes);
     if (static_cast<double>(rankFor(server)) >= senders)
         return false;
-    const auto sent = m_sent.find(server);
-    if (sent == m_sent.end())
-        return true;
     // A rate below one a second is one request in a longer time.
     const double perWindow = std::max(1.0, std::floor(perSecond / senders));
     const double seconds = utils::toSeconds(window) * std::max(1.0, senders / perSecond);
     const utils::time_point since = now - utils::fromSeconds(seconds);
+    if (m_startedAt > since)
+        return false;
+    const auto sent = m_sent.find(server);
+    if (sent == m_sent.end())
+        return true;
     const auto inWindow
         = std::ranges::count_if(sent->second, [since](utils::time_point at) { return at > since; });
     return static_cast<double>(inWindow) < perWindow;
--- a/src/libs/decisions/coldstart.h
+++ b/src/libs/decisions/coldstart.h
@@ -17,9 +17,16 @@
 /// senders as it takes requests a second: the first nodes of a ranking that all nodes compute alike. Each
 /// sender has an equal part of the rate, the others send nothing. Where nodes know different parts of the
 /// fleet, more of them take themselves for senders, in proportion; a node that does not know its fleet yet is
-/// no sender. Not thread safe.
+/// no sender. Neither is a process that has just started: the one before it on the same node may have spent
+/// its part. Not thread safe.
 class cold_start_limiter {
 public:
+    /// `startedAt`: start of this process.
+    explicit cold_start_limiter(utils::time_point startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
     /// A sender spends its part of a second's requests once in this time: the way to the server takes longer
     /// for some requests than for others, and these may arrive together.
     static constexpr utils::duration window = std::chrono::milliseconds(1250);
@@ -45,6 +52,7 @@
     /// Position of this node in the ranking of the nodes for a server.
     std::size_t rankFor(const utils::server_id& server);
 
+    utils::time_point m_startedAt;
     std::string m_ownAddress;
     std::vector<std::string> m_others; ///< ordered
     bool m_isFleetKnown = false;
--- a/src/libs/decisions/rejectionlimiter.cpp
+++ b/src/libs/decisions/rejectionlimiter.cpp
@@ -84,7 +84,8 @@
     if (!isLimited(service, now))
         return true;
     const auto rejected = m_rejectedAt.find(server);
-    if (m_nodes == 0 || (rejected != m_rejectedAt.end() && now - rejected->second < pauseAfterRejection))
+    if (m_nodes == 0 || now - m_startedAt < pauseAfterRejection
+        || (rejected != m_rejectedAt.end() && now - rejected->second < pauseAfterRejection))
         return false;
     // Half of the rejections that the server bears are left for what the draws cannot foresee.
     constexpr double usedShare = 0.5;
--- a/src/libs/decisions/rejectionlimiter.h
+++ b/src/libs/decisions/rejectionlimiter.h
@@ -33,6 +33,13 @@
     /// the ways of two requests.
     static constexpr utils::duration pauseAfterRejection = std::chrono::milliseconds(1250);
 
+    /// `startedAt`: start of this process. The one before it on the same node may have been rejected right
+    /// before.
+    explicit rejection_limiter(utils::time_point startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
     /// Sets the number of nodes of the fleet, this one included. Before the first call this node sends
     /// nothing to servers that announce a limit.
     void setFleet(const std::string& ownAddress, std::size_t nodes);
@@ -70,6 +77,7 @@
     /// This node's draw for the server in the present window, 0 to 1.
     double drawFor(const utils::server_id& server, utils::time_point now) const;
 
+    utils::time_point m_startedAt;
     std::string m_ownAddress;
     std::size_t m_nodes = 0; ///< 0: not known
     std::map<std::string, announcement> m_announcements; ///< by service
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -55,6 +55,8 @@
     , servers(settleTime)
     , health(healthLimits())
     , reachability(utils::hash64(options.name))
+    , coldStarts(now())
+    , rejections(now())
     , poison(poisonLimits())
     , pool(idleConnectionTimeout)
     , window(windowLimits(options.stopGrace), now())
--- a/tests/auto/decisions/tst_coldstart.cpp
+++ b/tests/auto/decisions/tst_coldstart.cpp
@@ -12,6 +12,8 @@
 
 constexpr double perSecond = 8.7;
 
+const utils::time_point longAgo {}; ///< when processes have started
+
 std::string addressOf(std::size_t node)
 {
     return "10.0." + std::to_string(node / 250) + '.' + std::to_string(node % 250) + ":7340";
@@ -20,7 +22,7 @@
 /// Nodes that all want to send to the same cold servers at every moment.
 struct eager_fleet {
     explicit eager_fleet(std::size_t size)
-        : nodes(size)
+        : nodes(size, cold_start_limiter(longAgo))
     {
         for (std::size_t i = 0; i < size; ++i)
             know(i, size);
@@ -112,7 +114,7 @@
 // Guards against many restarted nodes that know nobody yet and each take themselves for a sender.
 BOOST_AUTO_TEST_CASE(a_node_that_does_not_know_its_fleet_sends_nothing_to_cold_servers)
 {
-    cold_start_limiter limiter;
+    cold_start_limiter limiter(longAgo);
     BOOST_TEST(!limiter.maySend(utils::server_id("i-1"), perSecond, utils::time_point {} + 1h));
 }
 
@@ -145,7 +147,7 @@
 // it is cold, because they believe that it still holds a hot part.
 BOOST_AUTO_TEST_CASE(a_server_that_was_unreachable_is_suspect_for_a_while)
 {
-    cold_start_limiter limiter;
+    cold_start_limiter limiter(longAgo);
     const utils::server_id server("i-1");
     const utils::time_point now = utils::time_point {} + 1h;
     BOOST_TEST(!limiter.isSuspect(server, 3s, now));
@@ -156,4 +158,21 @@
     BOOST_TEST(!limiter.isSuspect(server, 3min, now + 3min));
 }
 
+// Guards against cold servers that are overrun by nodes which are killed in series: each process would send
+// the part of its second anew.
+BOOST_AUTO_TEST_CASE(nodes_killed_in_series_keep_the_rate_of_a_cold_server)
+{
+    eager_fleet fleet(7);
+    const utils::server_id server("i-1");
+    for (int kill = 0; kill < 20; ++kill) {
+        for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+            fleet.nodes[node] = cold_start_limiter(fleet.now);
+            fleet.know(node, fleet.nodes.size());
+        }
+        const auto [most, all] = fleet.play(server, kill % 2 == 0 ? 700ms : 1900ms);
+        BOOST_TEST(static_cast<double>(most) <= perSecond);
+        BOOST_TEST((kill % 2 == 0) == (all == 0));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/decisions/tst_rejectionlimiter.cpp
+++ b/tests/auto/decisions/tst_rejectionlimiter.cpp
@@ -78,7 +78,7 @@
 
 private:
     struct node_state {
-        rejection_limiter limiter;
+        rejection_limiter limiter { utils::time_point() };
         std::vector<unsigned> sentSince; ///< since the last heartbeat, by server
     };
     struct server_state {
@@ -188,7 +188,7 @@
 
 BOOST_AUTO_TEST_CASE(a_service_that_announces_nothing_is_not_limited)
 {
-    rejection_limiter limiter;
+    rejection_limiter limiter { utils::time_point() };
     limiter.setFleet(addressOf(0), 7);
     const utils::time_point now = utils::time_point {} + 1h;
     limiter.recordRejected(server_id("press-0"), now);
@@ -202,4 +202,15 @@
     BOOST_TEST(!limiter.isLimited("press", now + 6s));
 }
 
+// Guards against a process that sends to a server which has just rejected the process before it on the node.
+BOOST_AUTO_TEST_CASE(a_process_that_has_just_started_waits_as_after_a_rejection)
+{
+    const utils::time_point startedAt = utils::time_point {} + 1h;
+    rejection_limiter limiter(startedAt);
+    limiter.setFleet(addressOf(0), 7);
+    limiter.recordAnswer("press", 5, startedAt);
+    BOOST_TEST(!limiter.maySend("press", server_id("press-0"), 0, slots, startedAt + 1s));
+    BOOST_TEST(limiter.maySend("press", server_id("press-0"), 0, slots, startedAt + 1300ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
