--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -1,6 +1,7 @@
 #include "soakcheck.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace soak {
@@ -8,6 +9,10 @@
 namespace {
 
 constexpr unsigned runsOfRepeatable = 2; // the routes' limit of attempts
+// The platform's bound on retries, as the settings of the nodes have it.
+constexpr double retryRatio = 0.2;
+constexpr double retryExtra = 54;
+constexpr duration retryWindow = std::chrono::seconds(10);
 constexpr std::size_t toleratedOverruns = 3; // the platform counts them from the fourth
 
 bool mayRepeat(call_kind kind)
@@ -31,6 +36,24 @@
     return statuses.contains(status);
 }
 
+/// The service that runs a call: 0 for the plain one, 1 for the engines.
+std::size_t serviceOf(call_kind kind)
+{
+    return isStream(kind) ? 1 : 0;
+}
+
+/// Calls of one service, and the times at which servers got one of them again.
+struct service_traffic {
+    std::vector<time_point> calls; ///< in order
+    std::vector<time_point> retries; ///< in order
+};
+
+std::size_t countWithin(const std::vector<time_point>& times, time_point from, duration span)
+{
+    const auto begin = std::ranges::lower_bound(times, from);
+    return static_cast<std::size_t>(std::lower_bound(begin, times.end(), from + span) - begin);
+}
+
 /// Judges one run.
 class judge {
 public:
@@ -38,13 +61,20 @@
         : m_evidence(evidence)
         , m_bounds(bounds)
     {
-        for (const call_record& call : evidence.calls)
+        for (const call_record& call : evidence.calls) {
             m_calls[call.id] = &call;
+            m_traffic.at(serviceOf(call.kind)).calls.push_back(call.sentAt);
+        }
     }
 
     std::vector<std::string> verdict()
     {
         checkArrivals();
+        for (auto& [id, times] : m_arrivedAt) {
+            std::ranges::sort(times);
+            auto& retries = m_traffic.at(serviceOf(m_calls.at(id)->kind)).retries;
+            retries.insert(retries.end(), times.begin() + 1, times.end());
+        }
         std::size_t overruns = 0;
         for (const call_record& call : m_evidence.calls) {
             checkAnswer(call);
@@ -53,6 +83,8 @@
         }
         if (overruns > toleratedOverruns)
             m_broken.push_back(std::to_string(overruns) + " requests ran more often than their route allows");
+        for (service_traffic& traffic : m_traffic)
+            checkRetries(traffic);
         for (const std::string& node : m_evidence.ownEnds)
             m_broken.push_back(node + " ended by itself");
         for (const std::string& node : m_evidence.notRecovered)
@@ -92,11 +124,32 @@
                 breaks(request.id, "reached " + each.server + " under another workspace");
             if (request.method == "POST" && request.body != request.id)
                 breaks(request.id, "reached " + each.server + " with another body");
+            m_arrivedAt[request.id].push_back(request.arrivedAt);
             checkLeaving(each, *call->second);
             checkEvacuation(each, *call->second);
         }
     }
 
+    /// All nodes together send no more retries to a service than its requests allow, in any window. The
+    /// requests count in the window, the one before it, or the one half a window before it.
+    void checkRetries(service_traffic& traffic)
+    {
+        std::ranges::sort(traffic.calls);
+        std::ranges::sort(traffic.retries);
+        for (const time_point from : traffic.retries) {
+            std::size_t calls = 0;
+            for (const duration before : { duration(0), retryWindow / 2, retryWindow })
+                calls = std::max(calls, countWithin(traffic.calls, from - before, retryWindow));
+            const std::size_t retries = countWithin(traffic.retries, from, retryWindow);
+            const double allowed = retryRatio * static_cast<double>(calls) + retryExtra;
+            if (static_cast<double>(retries) <= allowed)
+                continue;
+            m_broken.push_back(std::to_string(retries) + " retries in ten seconds for "
+                + std::to_string(calls) + " requests");
+            return;
+        }
+    }
+
     void checkLeaving(const arrival& each, const call_record& call)
     {
         const auto left = m_evidence.leftAt.find(each.server);
@@ -184,6 +237,8 @@
     const std::optional<soak_bounds>& m_bounds;
     std::map<std::string, const call_record*> m_calls; ///< by id
     std::map<std::string, unsigned> m_runs; ///< by id
+    std::map<std::string, std::vector<time_point>> m_arrivedAt; ///< at servers, by id
+    std::array<service_traffic, 2> m_traffic;
     std::vector<std::string> m_broken;
 };
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 18> kinds { {
+constexpr std::array<std::pair<fault_kind, std::string_view>, 20> kinds { {
     { fault_kind::KillNode, "kill_node" },
     { fault_kind::PauseNode, "pause_node" },
     { fault_kind::StopNode, "stop_node" },
@@ -28,15 +28,24 @@
     { fault_kind::DataCentreEvacuated, "data_centre_evacuated" },
     { fault_kind::NodeCutOff, "node_cut_off" },
     { fault_kind::ServersBrittle, "servers_brittle" },
+    { fault_kind::FleetKilled, "fleet_killed" },
+    { fault_kind::ServiceFails, "service_fails" },
 } };
 
 // The last kinds are drawn apart, so that a seed from before them has the faults that it had.
-constexpr std::size_t drawnKinds = kinds.size() - 3;
+constexpr std::size_t drawnKinds = kinds.size() - 5;
 constexpr std::uint64_t evacuationSalt = 0x9e3779b97f4a7c15;
 constexpr int mostEvacuations = 2;
 constexpr std::uint64_t pathSalt = 0xc2b2ae3d27d4eb4f;
 constexpr int mostCuts = 3;
 constexpr int mostBrittleTimes = 1;
+constexpr std::uint64_t killSalt = 0x165667b19e3779f9;
+constexpr int fleetKilledOneIn = 2; // seeds
+constexpr int fewestKills = 2;
+constexpr int mostKills = 5;
+constexpr int shortestKillPause = 800; // ms, from kill to kill
+constexpr int longestKillPause = 3000; // ms
+constexpr int longestDown = 600; // ms, of a killed fleet
 constexpr auto evacuationLead = std::chrono::seconds(5); // until no request may arrive any more
 // One group of faults begins each second or so: with lengths up to four seconds two or three overlap.
 constexpr auto meanPause = std::chrono::milliseconds(900);
@@ -88,6 +97,28 @@
     add(fault_kind::ServersBrittle, mostBrittleTimes);
 }
 
+/// Kills of the fleet in series, while a service fails.
+void addKilledFleets(std::vector<planned_fault>& plan, std::uint64_t seed, duration end)
+{
+    std::mt19937_64 random(seed ^ killSalt);
+    if (random() % fleetKilledOneIn != 0)
+        return;
+    planned_fault failing
+        = drawFault(random, duration(drawBetween(random, 0, static_cast<int>(end.count()))));
+    failing.kind = fault_kind::ServiceFails;
+    const duration pause(drawBetween(random, shortestKillPause, longestKillPause));
+    const int kills = drawBetween(random, fewestKills, mostKills);
+    failing.lasts = (kills + 1) * pause;
+    plan.push_back(failing);
+    for (int i = 0; i < kills; ++i) {
+        planned_fault kill = drawFault(random, failing.at + i * pause + pause / 2);
+        kill.kind = fault_kind::FleetKilled;
+        kill.lasts = duration(drawBetween(random, shortest, longestDown));
+        if (kill.at < end)
+            plan.push_back(kill);
+    }
+}
+
 } // namespace
 
 std::string_view toString(fault_kind kind)
@@ -114,6 +145,7 @@
     }
     addEvacuations(plan, seed, end);
     addLostPaths(plan, seed, end);
+    addKilledFleets(plan, seed, end);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -28,6 +28,8 @@
     ConfigurationChanges, ///< a new version that changes nothing
     NodeCutOff, ///< one node's paths to all backend servers misbehave
     ServersBrittle, ///< the plain servers announce that they bear few rejections
+    FleetKilled, ///< all nodes, or all but one, as KillNode
+    ServiceFails, ///< all backend servers of a service reject or cut what they get
     DataCentreEvacuated, ///< half of the backend servers may get nothing; they are cold at the end
 };
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -31,6 +31,8 @@
     replica_act::Unsigned };
 constexpr std::array engineActs { replica_act::StreamCut, replica_act::StreamCutOnce, replica_act::Shed,
     replica_act::ShedUnmarked, replica_act::Cut, replica_act::Hang };
+// Of all servers of a service.
+constexpr std::array failingActs { replica_act::Shed, replica_act::Cut };
 
 constexpr std::array cutStates { link_state::Lost, link_state::ClosedToNew, link_state::Refusing,
     link_state::Silent };
@@ -173,6 +175,10 @@
             for (const auto& server : m_servers)
                 server->announceRejectionLimit(std::nullopt);
         });
+    case fault_kind::FleetKilled:
+        return killFleet(fault);
+    case fault_kind::ServiceFails:
+        return failService(fault);
     case fault_kind::KeyRevoked:
         return takeKeyAway(fault.lasts);
     case fault_kind::ConfigurationChanges:
@@ -195,6 +201,29 @@
     });
 }
 
+void soak_run::killFleet(const planned_fault& fault)
+{
+    const bool isOneSpared = fault.variant % 2 == 0;
+    for (std::size_t node = 0; node < m_size.nodes; ++node) {
+        if (!isOneSpared || node != fault.target % m_size.nodes)
+            beginOnNode({ fault_kind::KillNode, fault.at, fault.lasts, node, 0 }, node);
+    }
+}
+
+void soak_run::failService(const planned_fault& fault)
+{
+    const bool isPress = fault.target % 2 == 0;
+    const replica_act act = failingActs.at(fault.variant % failingActs.size());
+    for (std::size_t server = 0; server < m_serving.size(); ++server) {
+        if ((server < m_size.servers) != isPress)
+            continue;
+        replica_standin& standin = *m_servers[m_serving[server]];
+        standin.act(act);
+        until(fault.lasts,
+            [&standin, isPress] { standin.act(isPress ? replica_act::Answer : replica_act::Stream); });
+    }
+}
+
 void soak_run::addPath(const replica_standin& server)
 {
     const unsigned short port = routed(server.port());
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -49,6 +49,8 @@
     void beginOnServer(const planned_fault& fault);
     void takeKeyAway(duration lasts);
     void cutOffNode(const planned_fault& fault);
+    void killFleet(const planned_fault& fault);
+    void failService(const planned_fault& fault);
     /// Lets the node that may be cut off reach the server by a proxy of its own.
     void addPath(const platform_standin::replica_standin& server);
     void evacuate(const std::string& dataCentre, duration lasts);
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace std::chrono_literals;
 using soak::arrival;
 using soak::brokenPromises;
@@ -169,4 +171,26 @@
     BOOST_TEST(brokenCount(evidence) == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(retries_beyond_the_budget_are_seen)
+{
+    constexpr unsigned calls = 100;
+    constexpr unsigned allowed = 74; // a fifth of the calls, and 54
+    soak_evidence evidence = soundEvidence();
+    evidence.calls.clear();
+    evidence.arrivals.clear();
+    for (unsigned i = 0; i < calls; ++i) {
+        const std::string id = std::to_string(i);
+        const time_point sentAt = start + i * 10ms;
+        evidence.calls.push_back(
+            { id, call_kind::Payment, 0, false, sentAt, sentAt + 1s, 503, false, false, "", "" });
+        evidence.arrivals.push_back(runAt("press-1", id, sentAt, false));
+        if (i <= allowed)
+            evidence.arrivals.push_back(runAt("press-2", id, sentAt + 100ms, false));
+    }
+    BOOST_TEST(brokenCount(evidence) == 1u);
+    evidence.arrivals.pop_back();
+    evidence.arrivals.erase(std::ranges::find(evidence.arrivals, "press-2", &arrival::server));
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
