--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -50,6 +50,12 @@
         for (const auto& proxy : m_proxies)
             proxy->set(state);
     }
+    /// Sets the state of the paths from the first node to all replicas of both services but the first ones.
+    void setPathsButFirst(link_state state)
+    {
+        for (std::size_t i = 2; i < m_proxies.size(); ++i)
+            m_proxies[i]->set(state);
+    }
     /// Whether a call of each kind is served at the first node.
     bool servesEachKind()
     {
@@ -156,6 +162,40 @@
     checkCut(*this, { link_state::Refusing, link_state::ClosedToNew });
 }
 
+// Guards against callers of a node who wait for servers, one after the other, that only this node has lost.
+BOOST_FIXTURE_TEST_CASE(callers_are_served_while_some_servers_are_out_of_reach, cut_testbed)
+{
+    for (const link_state state : { link_state::Lost, link_state::ClosedToNew }) {
+        setPathsButFirst(link_state::Refusing);
+        setPathsButFirst(state);
+        BOOST_REQUIRE(waitUntil([&] { return servesEachKind(); }));
+        BOOST_TEST(failedRounds() == 0u);
+        setPathsButFirst(link_state::Open);
+        BOOST_REQUIRE(waitUntil([&] { return servesEachKind(); }));
+    }
+    BOOST_TEST(!hasRepeatedPayment());
+}
+
+// Guards against calls that hang or fail for want of a new connection while the open ones still live.
+BOOST_FIXTURE_TEST_CASE(parallel_callers_are_served_while_only_open_connections_live_on, cut_testbed)
+{
+    BOOST_REQUIRE(failedRounds() == 0u);
+    setPaths(link_state::ClosedToNew);
+    BOOST_REQUIRE(waitUntil([&] { return servesEachKind(); }));
+    constexpr std::size_t callers = 6;
+    std::vector<std::future<bool>> calls;
+    for (std::size_t i = 0; i < callers; ++i) {
+        const http_question chat = question("POST", "/chat/1", "hi");
+        calls.push_back(std::async(std::launch::async, [this, chat] {
+            const http_reply reply = ask(node(0), chat);
+            return reply.status == 200 && reply.isWhole;
+        }));
+    }
+    for (auto& call : calls)
+        BOOST_TEST(call.get());
+    BOOST_TEST(!hasRepeatedPayment());
+}
+
 // Guards against a second run of a payment whose peer dies, and against a "not run" that is not true.
 BOOST_FIXTURE_TEST_CASE(a_payment_whose_peer_dies_is_not_sent_again, cut_testbed)
 {
