--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -41,6 +41,12 @@
         std::function<void()> undo;
     };
 
+    // Of a node, until it has heard of the others.
+    static constexpr duration startTime = std::chrono::seconds(1);
+
+    static time_point now();
+    /// Data centre of the server at that position: they take turns.
+    static std::string dataCentreOf(std::size_t server);
     unsigned short routed(unsigned short port);
     platform_standin::fault_proxy& proxyOf(unsigned short port) { return *m_proxies.at(port); }
     void begin(const planned_fault& fault);
