--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using platform_standin::fault_proxy;
-using platform_standin::link_state;
 using platform_standin::replica_act;
 using platform_standin::replica_standin;
 using platform_standin::store_mode;
