--- a/src/libs/decisions/repeatallowance.cpp
+++ b/src/libs/decisions/repeatallowance.cpp
@@ -28,12 +28,10 @@
 
 bool repeat_allowance::trySpend(utils::time_point now)
 {
-    dropOld(now);
-    const double share = shareLeft(now);
-    if (share + extraLeft(now) < 1)
+    if (left(now) < 1)
         return false;
+    const double ofShare = std::min(1.0, shareLeft(now));
     slice& spent = current(now);
-    const double ofShare = std::min(1.0, share);
     spent.spentOfShare += ofShare;
     spent.spentOfExtra += 1 - ofShare;
     return true;
@@ -44,9 +42,8 @@
     m_nodes = std::max(m_nodes, nodes);
 }
 
-double repeat_allowance::left(utils::time_point now)
+double repeat_allowance::left(utils::time_point now) const
 {
-    dropOld(now);
     return shareLeft(now) + extraLeft(now);
 }
 
@@ -67,24 +64,23 @@
         return 0;
     const double total = safetyFactor * m_limits.extra;
     double left = m_nodes == 0 ? std::min(extraInUnknownFleet, total) : total / m_nodes;
-    for (const slice& part : m_slices)
-        left -= part.spentOfExtra;
+    const std::int64_t oldest = oldestOf(m_limits.window, now);
+    for (const slice& part : m_slices) {
+        if (part.index >= oldest)
+            left -= part.spentOfExtra;
+    }
     return std::max(0.0, left);
 }
 
 repeat_allowance::slice& repeat_allowance::current(utils::time_point now)
 {
+    const std::int64_t oldest = oldestOf(m_limits.window, now);
+    while (!m_slices.empty() && m_slices.front().index < oldest)
+        m_slices.pop_front();
     const std::int64_t index = indexOf(now);
     if (m_slices.empty() || m_slices.back().index != index)
         m_slices.push_back({ index, 0, 0, 0 });
     return m_slices.back();
 }
 
-void repeat_allowance::dropOld(utils::time_point now)
-{
-    const std::int64_t oldest = oldestOf(m_limits.window, now);
-    while (!m_slices.empty() && m_slices.front().index < oldest)
-        m_slices.pop_front();
-}
-
 } // namespace decisions
--- a/src/libs/decisions/repeatallowance.h
+++ b/src/libs/decisions/repeatallowance.h
@@ -45,7 +45,7 @@
     /// spent their part already.
     void setNodes(unsigned nodes);
     /// Number of repeats left now.
-    double left(utils::time_point now);
+    double left(utils::time_point now) const;
 
     /// Fraction of the bound that is used.
     static constexpr double safetyFactor = 0.75;
@@ -63,8 +63,8 @@
         double spentOfShare = 0;
         double spentOfExtra = 0;
     };
+    /// The slice of the present; drops those that no longer count.
     slice& current(utils::time_point now);
-    void dropOld(utils::time_point now);
     double shareLeft(utils::time_point now) const;
     double extraLeft(utils::time_point now) const;
 
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -102,7 +102,7 @@
         return events;
     }
 
-    node_gauges gauges()
+    node_gauges gauges() const
     {
         const utils::time_point present = now();
         node_gauges gauges;
@@ -124,7 +124,7 @@
         gauges.droppedLogLines = static_cast<double>(utils::droppedLines());
         gauges.isStoreReachable = m_viewUpdater.isStoreReachable();
         gauges.uptimeSeconds = utils::toSeconds(present - m_context.startedAt);
-        for (auto& [service, allowance] : m_context.repeats)
+        for (const auto& [service, allowance] : m_context.repeats)
             gauges.retriesLeft.emplace_back(service, allowance.left(present));
         return gauges;
     }
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -46,6 +46,7 @@
 
     boost::asio::any_io_executor executor;
     node_options options;
+    utils::time_point startedAt; ///< of this process
     catalogue::configuration_ptr configuration; ///< in force; null before the first
     catalogue::server_directory servers;
     decisions::view_lag viewLag; ///< of the view of the backend servers
@@ -70,7 +71,6 @@
     std::uint64_t nextRequestNumber = 1;
     decisions::fleet_size fleetSize;
     decisions::service_window window; ///< when the node accepts requests
-    utils::time_point startedAt; ///< of this process
     utils::time_point evidenceAt {}; ///< last time the configuration in force was known to be the newest
 
     /// The allowance of repeats at a service.
--- a/tests/auto/decisions/retryhistory.h
+++ b/tests/auto/decisions/retryhistory.h
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <functional>
+#include <numeric>
 #include <optional>
 #include <random>
 #include <vector>
@@ -44,6 +44,12 @@
     std::vector<crash> crashes;
     std::uint64_t seed = 0;
 
+    std::vector<unsigned> allNodes() const
+    {
+        std::vector<unsigned> all(nodes);
+        std::iota(all.begin(), all.end(), 0U);
+        return all;
+    }
     double rateAt(double time) const
     {
         return requestsPerSecond * (1 + swing * std::sin(time / swingPeriod * 6.283));
@@ -63,7 +69,6 @@
 struct retry_times {
     std::vector<double> requests; ///< by callers, whether a node took them or not
     std::vector<double> retries;
-    unsigned wanted = 0; ///< retries that were asked for
 
     static double within(const std::vector<double>& times, double from, double span)
     {
@@ -86,15 +91,12 @@
     }
 };
 
-/// Plays a history with one `Allowance` for each process. `Make` makes that of a process which starts at a
-/// time.
-template <class Allowance> class retry_player {
+/// Plays a history with one allowance for each process.
+class retry_player {
 public:
-    using make_function = std::function<Allowance(utils::time_point)>;
-
-    retry_player(const retry_history& history, make_function make)
+    retry_player(const retry_history& history, const decisions::repeat_limits& limits)
         : m_history(history)
-        , m_make(std::move(make))
+        , m_limits(limits)
         , m_random(history.seed)
         , m_nodes(history.nodes)
     {
@@ -123,7 +125,7 @@
         unsigned left = 0;
     };
     struct node_state {
-        std::optional<Allowance> allowance;
+        std::optional<decisions::repeat_allowance> allowance;
         double startedAt = 0;
         double downUntil = -1;
         double frozenUntil = -1;
@@ -142,7 +144,7 @@
     void start(node_state& node, double at)
     {
         node = {};
-        node.allowance.emplace(m_make(timeOf(at)));
+        node.allowance.emplace(m_limits, 0, timeOf(at));
         node.startedAt = at;
     }
 
@@ -228,7 +230,6 @@
 
     void retry(node_state& origin, const pending_retry& each)
     {
-        ++m_times.wanted;
         node_state* sender = &origin;
         if (uniform() < m_history.forwardedShare) {
             node_state& peer = m_nodes[m_random() % m_nodes.size()];
@@ -251,7 +252,7 @@
     static constexpr unsigned minNodes = 9;
 
     const retry_history& m_history;
-    make_function m_make;
+    const decisions::repeat_limits& m_limits;
     std::mt19937_64 m_random;
     std::vector<node_state> m_nodes;
     retry_times m_times;
@@ -280,9 +281,7 @@
         history.phases.push_back({ at, failingShares[random() % std::size(failingShares)] });
     for (unsigned left = static_cast<unsigned>(random() % 4); left > 0; --left)
         history.crashes.push_back({ between(5, history.length), between(0.2, 4) });
-    std::vector<unsigned> all(nodes);
-    for (unsigned i = 0; i < nodes; ++i)
-        all[i] = i;
+    const std::vector<unsigned> all = history.allNodes();
     const double period = between(0.4, 6);
     const double down = between(0.05, 1.5);
     switch (random() % 6) {
--- a/tests/auto/decisions/tst_retryhistories.cpp
+++ b/tests/auto/decisions/tst_retryhistories.cpp
@@ -2,13 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
-using decisions::repeat_allowance;
 using decisions::repeat_limits;
 
 namespace {
 
-using player = retry_player<repeat_allowance>;
-
 // Platforms give a fleet about as many retries beyond its share of requests: 54 to seven nodes with two spare
 // ones, 630 to 295.
 constexpr double extraPerNode = 2.1;
@@ -21,15 +18,10 @@
     return limits;
 }
 
-retry_times play(const retry_history& history)
-{
-    const repeat_limits limits = limitsFor(history.nodes);
-    return player(history, [limits](utils::time_point at) { return repeat_allowance(limits, 0, at); }).play();
-}
-
 double excessOf(const retry_history& history)
 {
-    return play(history).excess(limitsFor(history.nodes));
+    const repeat_limits limits = limitsFor(history.nodes);
+    return retry_player(history, limits).play().excess(limits);
 }
 
 /// Eight nodes with the traffic of a small deployment.
@@ -41,14 +33,6 @@
     return history;
 }
 
-std::vector<unsigned> allNodes(const retry_history& history)
-{
-    std::vector<unsigned> nodes(history.nodes);
-    for (unsigned i = 0; i < history.nodes; ++i)
-        nodes[i] = i;
-    return nodes;
-}
-
 void checkDrawnHistories(unsigned nodes, std::uint64_t seeds)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -71,7 +55,7 @@
     history.requestsPerSecond = 45;
     history.phases = { { 0, 0.9 } };
     for (double at = 1; at < 20; at += 3)
-        history.outages.push_back({ at, 0.5, false, allNodes(history) });
+        history.outages.push_back({ at, 0.5, false, history.allNodes() });
     BOOST_TEST(excessOf(history) <= 0);
 }
 
@@ -83,7 +67,7 @@
     history.requestsPerSecond = 160;
     history.phases = { { 0, 0 }, { 15, 1 } };
     history.crashes = { { 15, 4 } };
-    history.outages = { { 15.5, 0.3, false, allNodes(history) } };
+    history.outages = { { 15.5, 0.3, false, history.allNodes() } };
     BOOST_TEST(excessOf(history) <= 0);
 }
 
