Test of streams over several software versions, red

Real nodes before engines of one to six versions. On this commit: 10 of 48 resumed streams went on at another version, answers of servers that break off went on at another version, a stream of unknown origin ran, and after a kill of all nodes a stream of a version that has gone went on at the one left.

--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -92,7 +92,7 @@
 {
     const json::object entry { { "backend", service },
         { "address", "127.0.0.1:" + std::to_string(routed(replica.port())) },
-        { "zone", described.dataCentre }, { "resourceVersion", "v1" }, { "slots", 8 },
+        { "zone", described.dataCentre }, { "resourceVersion", described.softwareVersion }, { "slots", 8 },
         { "state", described.state }, { "coldRemainingMs", described.coldMs }, { "sequence", 1 },
         { "born", 1700000000000 } };
     m_store.put("servers/" + replica.id(), json::serialize(entry));
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -30,6 +30,7 @@
     std::string state = "ready";
     std::string dataCentre = "a"; ///< "a" and "b" are in "north", "c" in "south"
     unsigned coldMs = 0;
+    std::string softwareVersion = "v1";
 };
 
 /// What a configuration says besides its version.
