Tests of cut off nodes: the cut node starts before its peers

A node that starts beside its peers may copy their view of the store, with the addresses of the servers themselves in place of those behind its proxies, and is then not cut off at all.

--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -34,11 +34,13 @@
             addProxy(engine(i), substitutions);
             engine(i).setEvents(events, 0);
         }
-        startNode(platform_standin::store_mode::Serve, std::move(substitutions));
+        // Before its peers, of which it could copy the addresses of the replicas behind the proxies.
+        awaitReady(startNode(platform_standin::store_mode::Serve, std::move(substitutions)));
         startNode();
         startNode();
         for (std::size_t i = 0; i < nodeCount(); ++i)
             awaitReady(node(i));
+        BOOST_REQUIRE(node(0).process->log().find("view_copy_taken") == std::string::npos);
     }
     ~cut_testbed() { m_proxyThread.stop(); }
     cut_testbed(const cut_testbed&) = delete;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -18,7 +18,7 @@
 constexpr duration tickPeriod = std::chrono::milliseconds(20);
 constexpr unsigned eventsOfStream = 30; // of 2 ms
 
-constexpr std::size_t cutNode = 0;
+constexpr std::size_t cutNode = 0; // the first to start
 
 using path_texts = std::map<std::string, std::string>;
 
@@ -58,8 +58,11 @@
     }
     m_world.configure(m_version, true);
     m_world.setRetryLimits(retriesPerCall, extraRetries);
-    for (std::size_t i = 0; i < size.nodes; ++i)
-        m_world.startNode(store_mode::Serve, i == cutNode ? pathTexts(m_paths) : path_texts());
+    // The node that may be cut off starts before its peers, of which it could copy addresses behind its
+    // paths.
+    m_world.awaitReady(m_world.startNode(store_mode::Serve, pathTexts(m_paths)));
+    for (std::size_t i = 1; i < size.nodes; ++i)
+        m_world.startNode();
     for (std::size_t i = 0; i < size.nodes; ++i)
         m_world.awaitReady(m_world.node(i));
 }
