--- a/src/libs/catalogue/serverdirectory.cpp
+++ b/src/libs/catalogue/serverdirectory.cpp
@@ -19,6 +19,10 @@
         state.hasIdentityMismatch = false;
     // The entry may be older than this node's news of it, so this errs on the side of too long.
     state.coldUntil = now + entry->coldFor;
+    if (!entry->isDraining)
+        state.drainingSince.reset();
+    else if (!state.server.id.isEmpty() && !state.server.isDraining && !isRestart)
+        state.drainingSince = now;
     state.server = std::move(*entry);
     state.expiresAt.reset();
 }
@@ -78,9 +82,9 @@
     found->second.hasIdentityMismatch = true;
 }
 
-void server_directory::expire(utils::time_point now)
+std::size_t server_directory::expire(utils::time_point now)
 {
-    std::erase_if(m_entries,
+    return std::erase_if(m_entries,
         [now](const auto& entry) { return entry.second.expiresAt && *entry.second.expiresAt <= now; });
 }
 
@@ -140,6 +144,23 @@
     return result;
 }
 
+std::map<std::string, std::set<std::string>> server_directory::softwareVersions() const
+{
+    std::map<std::string, std::set<std::string>> versions;
+    for (const auto& [id, state] : m_entries)
+        versions[state.server.service].insert(state.server.softwareVersion);
+    return versions;
+}
+
+std::optional<utils::duration> server_directory::drainingFor(
+    const utils::server_id& id, utils::time_point now) const
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || !found->second.drainingSince || found->second.expiresAt)
+        return std::nullopt;
+    return now - *found->second.drainingSince;
+}
+
 std::vector<utils::server_id> server_directory::lapsed() const
 {
     std::vector<utils::server_id> result;
--- a/src/libs/catalogue/serverdirectory.h
+++ b/src/libs/catalogue/serverdirectory.h
@@ -51,8 +51,8 @@
     /// Marks a server at whose address another one has answered that it is not this server. It gets no
     /// requests until its entry shows a restart or another address.
     void markIdentityMismatch(const utils::server_id& id);
-    /// Removes lapsed entries that were not renewed in time.
-    void expire(utils::time_point now);
+    /// Removes lapsed entries that were not renewed in time; returns their number.
+    std::size_t expire(utils::time_point now);
 
     /// Whether the server may get new requests; check it right before sending.
     bool isUsable(const utils::server_id& id) const;
@@ -70,6 +70,11 @@
     /// Returns the servers of a service with a current entry, including draining and evacuated ones, ordered
     /// by id.
     std::vector<const backend_server*> present(const std::string& service) const;
+    /// Returns the software versions of all entries by service, including draining and lapsed ones.
+    std::map<std::string, std::set<std::string>> softwareVersions() const;
+    /// Time since this node learned that the server drains; nothing if it does not, or did so before this
+    /// node knew it.
+    std::optional<utils::duration> drainingFor(const utils::server_id& id, utils::time_point now) const;
     /// Number of entries, including draining and lapsed ones.
     std::size_t size() const { return m_entries.size(); }
     /// Returns the servers whose entries are missing but may be renewed.
@@ -85,6 +90,7 @@
         backend_server server;
         bool hasIdentityMismatch = false;
         utils::time_point coldUntil {};
+        std::optional<utils::time_point> drainingSince; ///< set if this node has seen the server before
         std::optional<utils::time_point> expiresAt; ///< set once the entry is missing: when it is removed
     };
 
--- /dev/null
+++ b/src/libs/decisions/versionhistory.cpp
@@ -0,0 +1,132 @@
+#include "versionhistory.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace decisions {
+
+namespace {
+
+constexpr char separator = '\t';
+
+bool isEncodable(const std::string& name)
+{
+    constexpr char firstPrintable = ' ';
+    return std::ranges::none_of(name, [](char c) { return c >= 0 && c < firstPrintable; });
+}
+
+} // namespace
+
+void version_history::applyRecord(
+    std::optional<service_versions> record, std::uint64_t revision, utils::time_point now)
+{
+    if (revision < m_revision)
+        return;
+    m_revision = revision;
+    m_hasRecord = record.has_value();
+    m_record = std::move(record).value_or(service_versions());
+    // A version that no server has here counts as missed from now on.
+    for (const auto& [service, versions] : m_record) {
+        for (const std::string& version : versions)
+            m_seen[service].try_emplace(version, seen_version { false, now });
+    }
+}
+
+void version_history::observe(const service_versions& present, utils::time_point now)
+{
+    for (auto& [service, versions] : m_seen) {
+        const auto found = present.find(service);
+        for (auto& [version, seen] : versions) {
+            const bool isPresent = found != present.end() && found->second.contains(version);
+            if (seen.isPresent || isPresent)
+                seen.lastAt = now;
+            seen.isPresent = isPresent;
+        }
+        std::erase_if(versions, [&](const auto& entry) {
+            const bool isRecorded = m_record.contains(service) && m_record.at(service).contains(entry.first);
+            return !entry.second.isPresent && !isRecorded && now - entry.second.lastAt > lifetime;
+        });
+    }
+    for (const auto& [service, versions] : present) {
+        for (const std::string& version : versions)
+            m_seen[service].try_emplace(version, seen_version { true, now });
+    }
+}
+
+std::set<std::string> version_history::possibleVersions(
+    const std::string& service, utils::time_point now) const
+{
+    std::set<std::string> versions;
+    if (const auto recorded = m_record.find(service); recorded != m_record.end())
+        versions = recorded->second;
+    if (const auto seen = m_seen.find(service); seen != m_seen.end()) {
+        for (const auto& [version, state] : seen->second) {
+            if (state.isPresent || now - state.lastAt <= lifetime)
+                versions.insert(version);
+        }
+    }
+    return versions;
+}
+
+std::optional<std::string> version_history::onlyVersion(
+    const std::string& service, utils::time_point now) const
+{
+    const std::set<std::string> versions = possibleVersions(service, now);
+    if (versions.size() != 1 || !isEncodable(*versions.begin()))
+        return std::nullopt;
+    return *versions.begin();
+}
+
+bool version_history::hasSeveral(const std::string& service, utils::time_point now) const
+{
+    return possibleVersions(service, now).size() > 1;
+}
+
+std::optional<service_versions> version_history::missingRecord(utils::time_point now) const
+{
+    service_versions wanted;
+    for (const auto& [service, versions] : m_seen) {
+        for (const auto& [version, seen] : versions) {
+            if (isEncodable(service) && isEncodable(version)
+                && (seen.isPresent || now - seen.lastAt <= lifetime))
+                wanted[service].insert(version);
+        }
+    }
+    if (wanted == m_record)
+        return std::nullopt;
+    return wanted;
+}
+
+std::string version_history::nameOf(const std::string& service, version_key version) const
+{
+    const auto seen = m_seen.find(service);
+    if (seen == m_seen.end())
+        return {};
+    const auto named = std::ranges::find_if(
+        seen->second, [version](const auto& entry) { return versionKey(entry.first) == version; });
+    return named == seen->second.end() ? std::string() : named->first;
+}
+
+std::string encodeRecord(const service_versions& record)
+{
+    std::string text;
+    for (const auto& [service, versions] : record) {
+        for (const std::string& version : versions)
+            text += service + separator + version + '\n';
+    }
+    return text;
+}
+
+service_versions decodeRecord(const std::string& text)
+{
+    service_versions record;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        const std::size_t at = line.find(separator);
+        if (at != std::string::npos)
+            record[line.substr(0, at)].insert(line.substr(at + 1));
+    }
+    return record;
+}
+
+} // namespace decisions
--- a/src/libs/gateway/forwardhop.cpp
+++ b/src/libs/gateway/forwardhop.cpp
@@ -36,12 +36,26 @@
 {
     std::string text
         = hex(hop.receiver) + separator + hex(hop.configurationVersion) + separator + hex(hop.earlierRuns);
-    // Builds that do not know the last number read a hop without it.
-    if (hop.earlierSent > hop.earlierRuns)
+    // Builds that do not know the attempts sent read a hop without them. Those that do not know the version
+    // must not take the request: they would choose among all servers.
+    if (hop.earlierSent > hop.earlierRuns || hop.streamVersion)
         text += separator + hex(hop.earlierSent);
+    if (hop.streamVersion)
+        text += separator + hex(*hop.streamVersion);
     return text;
 }
 
+std::string encodeVersion(std::uint64_t version)
+{
+    return hex(version);
+}
+
+std::optional<std::uint64_t> decodeVersion(std::string_view text)
+{
+    const auto version = takeNumber<std::uint64_t>(text);
+    return text.empty() ? version : std::nullopt;
+}
+
 std::optional<forward_hop> decodeHop(std::string_view text)
 {
     if (text.ends_with(separator))
@@ -52,9 +66,13 @@
     if (!runs)
         return std::nullopt;
     const auto sent = text.empty() ? runs : takeNumber<unsigned>(text);
-    if (!sent || *sent < *runs || !text.empty())
+    if (!sent || *sent < *runs)
         return std::nullopt;
-    return forward_hop { *receiver, *version, *runs, *sent };
+    forward_hop hop { *receiver, *version, *runs, *sent };
+    if (text.empty())
+        return hop;
+    hop.streamVersion = takeNumber<std::uint64_t>(text);
+    return hop.streamVersion && text.empty() ? std::optional(hop) : std::nullopt;
 }
 
 } // namespace gateway
--- a/src/libs/gateway/forwardhop.h
+++ b/src/libs/gateway/forwardhop.h
@@ -20,11 +20,22 @@
     /// Attempts so far that reached servers, at least `earlierRuns`. Those that servers rejected have not
     /// run, but what the receiver sends after them are retries all the same.
     unsigned earlierSent = 0;
+    /// The software version at which the stream began; only servers of that version may go on with it.
+    std::optional<std::uint64_t> streamVersion {};
 };
 
 /// Name of the header line; a line of this name from a caller is dropped.
 inline constexpr std::string_view forwardHopHeader = "Forward-Hop";
 
+/// Name of a header line by which a peer tells the version of the server whose events it forwards. A line of
+/// this name from a server is dropped.
+inline constexpr std::string_view streamVersionHeader = "Forward-Stream-Version";
+
+/// A software version as text in the header line, and the inverse; nothing if the text is not valid. Thread
+/// safe.
+std::string encodeVersion(std::uint64_t version);
+std::optional<std::uint64_t> decodeVersion(std::string_view text);
+
 /// The value of the header line. Thread safe.
 std::string encodeHop(const forward_hop& hop);
 /// The inverse of encodeHop(); nothing if the text is not a valid value. Thread safe.
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -6,7 +6,9 @@
 #include "peerforwarder.h"
 #include "peerlink.h"
 #include "peertable.h"
+#include "streamdirectory.h"
 #include "textserver.h"
+#include "versionrecorder.h"
 #include "viewupdater.h"
 
 #include "wire/acceptloop.h"
@@ -24,7 +26,7 @@
 namespace gateway {
 
 /// One gateway node: serves callers, follows the store and exchanges state with its peers. Not thread safe.
-template <wire_protocol Wire, catalogue_codec Codec, watched_store Store> class node {
+template <wire_protocol Wire, catalogue_codec Codec, writable_store Store> class node {
 public:
     node(boost::asio::any_io_executor executor, node_options options)
         : m_context(executor, std::move(options))
@@ -40,6 +42,8 @@
               }))
         , m_forwarder(m_context, m_peers)
         , m_prober(m_context)
+        , m_streams(m_context, m_peers)
+        , m_versionRecorder(m_context, m_peers)
         , m_acceptor(executor)
         , m_forwardAcceptor(executor)
         , m_timer(executor)
@@ -52,6 +56,9 @@
     void start()
     {
         const auto executor = m_context.executor;
+        m_streams.start([this](const std::string& address, const std::string& datagram) {
+            m_link->sendDatagram(address, datagram);
+        });
         m_readiness->listen(m_context.options.readinessAddress);
         m_link->listen(m_context.options.peerAddress);
         if (m_context.options.metricsPort != 0)
@@ -98,6 +105,7 @@
     {
         peer_events events;
         events.onHeartbeat = [this](const peer_heartbeat& heartbeat) { applyHeartbeat(heartbeat); };
+        events.onStreamMessage = [this](const stream_message& message) { m_streams.onMessage(message); };
         events.makeCopy = [this](const view_request& request) { return m_viewUpdater.copy(request, now()); };
         return events;
     }
@@ -118,6 +126,8 @@
         gauges.requestsInProgress = static_cast<double>(m_context.requestsInProgress);
         gauges.idleConnections = static_cast<double>(m_context.pool.size());
         gauges.crashStrikes = static_cast<double>(m_context.poison.size());
+        gauges.streamOrigins = static_cast<double>(m_streams.size());
+        gauges.streamOriginsDropped = static_cast<double>(m_streams.dropped());
         gauges.openDescriptors = openDescriptors();
         gauges.residentBytes = residentBytes();
         gauges.timerLagSeconds = utils::toSeconds(m_timerLag);
@@ -164,7 +174,8 @@
 
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, std::uint64_t receiver)
     {
-        const auto accepted = std::make_shared<session>(m_context, m_forwarder, std::move(socket), receiver);
+        const auto accepted
+            = std::make_shared<session>(m_context, m_forwarder, m_streams, std::move(socket), receiver);
         m_sessions.push_back(accepted);
         co_await accepted->run();
     }
@@ -209,7 +220,8 @@
 
     void tick(utils::time_point present)
     {
-        m_context.servers.expire(present);
+        if (m_context.servers.expire(present) > 0)
+            m_context.updateServers();
         m_context.pool.expire(present);
         m_forwarder.expire(present);
         m_prober.tick(present);
@@ -220,6 +232,8 @@
         m_context.fleetSize.observe(static_cast<unsigned>(m_peers.knownNodes()), present);
         updateLimiters(present);
         m_viewUpdater.tick(present);
+        m_versionRecorder.tick(m_viewUpdater.followsStore(), present);
+        m_streams.tick(present);
         sendHeartbeats();
         advanceStop(present);
     }
@@ -299,7 +313,7 @@
     {
         const std::string bytes = encodeHeartbeat(heartbeat);
         for (const std::string& address : addresses) {
-            m_link->sendHeartbeat(address, bytes);
+            m_link->sendDatagram(address, bytes);
             m_context.metrics.countHeartbeat(true);
         }
     }
@@ -308,8 +322,12 @@
     {
         const utils::time_point present = now();
         m_context.metrics.countHeartbeat(false);
+        const peer_state* known = m_peers.find(heartbeat.node);
+        const bool isStart = known != nullptr && known->bootId != heartbeat.bootId;
         if (!m_peers.applyHeartbeat(heartbeat, present))
             return;
+        if (isStart)
+            m_streams.onPeerStart(heartbeat.address);
         if (!heartbeat.omitsLists)
             applyLists(heartbeat, present);
         for (const reported_placement& reported : heartbeat.placements)
@@ -350,6 +368,8 @@
     std::shared_ptr<text_server> m_metricsServer;
     peer_forwarder m_forwarder;
     path_prober m_prober;
+    stream_directory m_streams;
+    version_recorder<Store> m_versionRecorder;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::acceptor m_forwardAcceptor;
     boost::asio::steady_timer m_timer;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -172,8 +172,9 @@
     }
 }
 
-void node_context::updateHealth()
+void node_context::updateServers()
 {
+    versions.observe(servers.softwareVersions(), now());
     if (!configuration)
         return;
     for (const auto& [name, service] : configuration->services) {
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -22,6 +22,7 @@
 #include "decisions/serverreachability.h"
 #include "decisions/servicewindow.h"
 #include "decisions/silencedetector.h"
+#include "decisions/versionhistory.h"
 #include "decisions/viewlag.h"
 
 #include "utils/errorkind.h"
@@ -50,6 +51,7 @@
     catalogue::configuration_ptr configuration; ///< in force; null before the first
     catalogue::server_directory servers;
     decisions::view_lag viewLag; ///< of the view of the backend servers
+    decisions::version_history versions; ///< of the software of the backend servers
     decisions::server_loads loads;
     decisions::server_choice choice;
     decisions::server_health health;
@@ -97,8 +99,8 @@
     void resetServers(const std::string& service);
     /// The path to one service is lost, so those to the others have to be probed.
     void suspectOtherServices(const std::string& service);
-    /// Updates the health tracking to the current directory of backend servers.
-    void updateHealth();
+    /// Updates the health tracking and the software versions to the current directory of backend servers.
+    void updateServers();
 };
 
 } // namespace gateway
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -53,6 +53,8 @@
         = counters("lycheefront_attempts_total", "Attempts at backend servers, by service and end");
     counter_family& repeats
         = counters("lycheefront_repeats_total", "Attempts sent that were retries at the service");
+    counter_family& resumptions = counters("lycheefront_stream_resumptions_total",
+        "Streams taken up by callers, by service, source of the origin and end");
     counter_family& coldRequests
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
     counter_family& connects = counters(
@@ -88,6 +90,10 @@
     prometheus::Gauge& inProgress = gauge("lycheefront_requests_in_progress", "Requests under way");
     prometheus::Gauge& idle
         = gauge("lycheefront_idle_connections", "Connections to backend servers in no use");
+    prometheus::Gauge& streamOrigins = gauge("lycheefront_stream_origins",
+        "Streams whose software version is known here, of this node and of peers");
+    prometheus::Gauge& streamOriginsDropped = gauge(
+        "lycheefront_stream_origins_dropped", "Streams that were dropped before their time for lack of room");
     prometheus::Gauge& crashStrikes
         = gauge("lycheefront_crash_strikes", "Strikes against requests after crashes");
     prometheus::Gauge& descriptors = gauge("process_open_fds", "Open descriptors");
@@ -130,6 +136,14 @@
         d->repeats.Add({ { "service", str(service) } }).Increment();
 }
 
+void node_metrics::countResumption(std::string_view service, std::string_view source, bool isAnswered)
+{
+    d->resumptions
+        .Add({ { "service", str(service) }, { "origin", str(source) },
+            { "end", isAnswered ? "answered" : "failed" } })
+        .Increment();
+}
+
 void node_metrics::countColdRequest(std::string_view service)
 {
     d->coldRequests.Add({ { "service", str(service) } }).Increment();
@@ -179,6 +193,8 @@
     d->fleetNodes.Set(gauges.fleetNodes);
     d->inProgress.Set(gauges.requestsInProgress);
     d->idle.Set(gauges.idleConnections);
+    d->streamOrigins.Set(gauges.streamOrigins);
+    d->streamOriginsDropped.Set(gauges.streamOriginsDropped);
     d->crashStrikes.Set(gauges.crashStrikes);
     d->descriptors.Set(gauges.openDescriptors);
     d->resident.Set(gauges.residentBytes);
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -29,6 +29,8 @@
     double fleetNodes = 0; ///< that share the fleet's bounds; 0: not known yet
     double requestsInProgress = 0;
     double idleConnections = 0;
+    double streamOrigins = 0; ///< streams whose origin is known
+    double streamOriginsDropped = 0; ///< for lack of room
     double crashStrikes = 0; ///< strikes against requests that may crash backend servers
     double openDescriptors = 0;
     double residentBytes = 0;
@@ -55,6 +57,8 @@
     void countFirstEvent(std::string_view service, utils::duration took);
     /// Counts a finished attempt at a backend server.
     void countAttempt(std::string_view service, attempt_outcome end, bool isRetry);
+    /// Counts a stream that a caller takes up, by how its origin became known and whether it was answered.
+    void countResumption(std::string_view service, std::string_view source, bool isAnswered);
     /// Counts a request that is sent to a cold backend server.
     void countColdRequest(std::string_view service);
     /// Counts a connection to a backend server that was accepted or not.
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -23,7 +23,7 @@
 namespace asio = boost::asio;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr std::size_t maxHeartbeatBytes = 8192; // enough for about a hundred backend servers
+constexpr std::size_t maxDatagramBytes = 8192; // enough for about a hundred backend servers
 constexpr std::uint32_t maxCopyBytes = 16 * 1024 * 1024; // a value of the store has at most one megabyte
 constexpr std::array<std::string_view, static_cast<std::size_t>(copy_outcome::Count_)> copyOutcomes { "done",
     "busy", "no_answer" };
@@ -57,7 +57,7 @@
     m_datagrams.open(local.protocol());
     m_datagrams.bind(local);
     m_acceptor = wire::listenOn(m_executor, address);
-    asio::co_spawn(m_executor, receiveHeartbeats(), asio::detached);
+    asio::co_spawn(m_executor, receiveDatagrams(), asio::detached);
     asio::co_spawn(m_executor,
         wire::acceptLoop(m_acceptor,
             [self = shared_from_this()](
@@ -65,13 +65,13 @@
         asio::detached);
 }
 
-void peer_link::sendHeartbeat(const std::string& address, const std::string& heartbeat)
+void peer_link::sendDatagram(const std::string& address, const std::string& datagram)
 {
     const auto endpoint = wire::parseEndpoint(address);
     if (!endpoint)
         return;
-    boost::system::error_code ignored; // the next heartbeat follows soon
-    m_datagrams.send_to(asio::buffer(heartbeat), { endpoint->address(), endpoint->port() }, 0, ignored);
+    boost::system::error_code ignored; // as if the datagram were lost on its way
+    m_datagrams.send_to(asio::buffer(datagram), { endpoint->address(), endpoint->port() }, 0, ignored);
 }
 
 void peer_link::close()
@@ -81,10 +81,10 @@
     m_acceptor.close(ignored);
 }
 
-asio::awaitable<void> peer_link::receiveHeartbeats()
+asio::awaitable<void> peer_link::receiveDatagrams()
 {
     const auto self = shared_from_this();
-    std::string bytes(maxHeartbeatBytes, '\0');
+    std::string bytes(maxDatagramBytes, '\0');
     while (m_datagrams.is_open()) {
         asio::ip::udp::endpoint sender;
         const auto [error, count]
@@ -93,7 +93,13 @@
             co_return;
         if (error)
             continue;
-        const auto heartbeat = decodeHeartbeat(std::string_view(bytes).substr(0, count));
+        const std::string_view datagram = std::string_view(bytes).substr(0, count);
+        if (isStreamMessage(datagram)) {
+            if (const auto message = decodeStreamMessage(datagram))
+                m_events.onStreamMessage(*message);
+            continue;
+        }
+        const auto heartbeat = decodeHeartbeat(datagram);
         if (heartbeat)
             m_events.onHeartbeat(*heartbeat);
     }
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peermessages.h"
+#include "streammessages.h"
 
 #include "decisions/copygate.h"
 
@@ -35,10 +36,12 @@
 /// Callbacks from a peer link to its node.
 struct peer_events {
     std::function<void(const peer_heartbeat&)> onHeartbeat;
+    std::function<void(const stream_message&)> onStreamMessage;
     std::function<view_copy(const view_request&)> makeCopy;
 };
 
-/// Carries messages between nodes: heartbeats as datagrams, copies of the view of the store over TCP.
+/// Carries messages between nodes: heartbeats and messages about streams as datagrams, copies of the view of
+/// the store over TCP.
 ///
 /// A copy is sent in chunks, each of which waits for the acknowledgement of the previous one. At most one
 /// chunk of each copy is queued at a link, where it delays everything else that the node sends. Either side
@@ -50,15 +53,16 @@
 
     /// Listens on that address, TCP and UDP. Throws boost::system::system_error.
     void listen(const boost::asio::ip::tcp::endpoint& address);
-    /// Sends an encoded heartbeat to the node at that address, "ip:port". Lost datagrams are not reported.
-    void sendHeartbeat(const std::string& address, const std::string& heartbeat);
+    /// Sends an encoded heartbeat or message about streams to the node at that address, "ip:port". Lost
+    /// datagrams are not reported.
+    void sendDatagram(const std::string& address, const std::string& datagram);
     /// Asks the node at that address, "ip:port", for a copy.
     boost::asio::awaitable<fetched_copy> fetchView(std::string address, view_request request);
     /// Stops listening.
     void close();
 
 private:
-    boost::asio::awaitable<void> receiveHeartbeats();
+    boost::asio::awaitable<void> receiveDatagrams();
     boost::asio::awaitable<void> serveCopy(boost::asio::ip::tcp::socket socket);
     decisions::copy_gate& gateOf(view_part part);
 
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -28,10 +28,12 @@
 template <wire_protocol Wire> class request_flow {
 public:
     /// Precondition: all arguments outlive run().
-    request_flow(node_context& context, peer_forwarder& forwarder, const client_request& request,
-        const request_plan& plan, std::shared_ptr<stop_scope> scope, response_writer& writer)
+    request_flow(node_context& context, peer_forwarder& forwarder, stream_directory& streams,
+        const client_request& request, const request_plan& plan, std::shared_ptr<stop_scope> scope,
+        response_writer& writer)
         : m_context(context)
         , m_forwarder(forwarder)
+        , m_streams(streams)
         , m_request(request)
         , m_plan(plan)
         , m_scope(std::move(scope))
@@ -39,7 +41,7 @@
         , m_record(plan.route->mayRepeat(), plan.route->maxAttempts)
         , m_requestNumber(context.nextRequestNumber++)
         , m_tracker(context, plan, m_requestNumber)
-        , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_result })
+        , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_result, streams })
     {
     }
 
@@ -48,7 +50,9 @@
         if (m_request.hop)
             m_record.addEarlier(m_request.hop->earlierRuns, m_request.hop->earlierSent);
         m_context.rejections.recordArrival(m_plan.service, now());
-        while (m_scope->checkDeadline(now()) == stop_reason::None) {
+        co_await findOrigin();
+        while (m_result.origin.source != decisions::origin_source::Unknown
+            && m_scope->checkDeadline(now()) == stop_reason::None) {
             recordViewAge();
             if (m_result.isViewTooOld)
                 break;
@@ -58,7 +62,7 @@
                 mayGoOn = co_await tryPeer(*peer);
             else
                 mayGoOn = co_await tryNextServer();
-            if (!mayGoOn || !m_record.mayRetry() || m_result.isTruncated)
+            if (!mayGoOn || !m_record.mayRetry() || m_result.isTruncated || hasEventsOfUnknownVersion())
                 break;
         }
         m_result.attempts = m_record.attempts();
@@ -67,12 +71,32 @@
         m_result.events = m_relay.eventCount();
         if (m_result.lastOutcome != attempt_outcome::Answered)
             co_await endWithoutResponse();
+        if (m_result.origin.source != decisions::origin_source::None)
+            m_context.metrics.countResumption(m_plan.service, toString(m_result.origin.source),
+                m_result.lastOutcome == attempt_outcome::Answered);
         co_return std::move(m_result);
     }
 
 private:
     using error_code = boost::system::error_code;
 
+    /// Binds the request to the software version that began the stream which the caller takes up.
+    boost::asio::awaitable<void> findOrigin()
+    {
+        if (m_plan.route->kind != catalogue::request_kind::Stream || !m_request.lastEventId)
+            co_return;
+        if (m_request.hop && m_request.hop->streamVersion)
+            m_result.origin
+                = { decisions::origin_source::ForwardingNode, *m_request.hop->streamVersion, {}, {} };
+        else
+            m_result.origin = co_await m_streams.find(m_plan, m_request);
+        if (m_result.origin.source != decisions::origin_source::Unknown)
+            m_result.streamVersion = m_result.origin.version;
+    }
+
+    /// Whether the caller has events from a peer that does not tell their version.
+    bool hasEventsOfUnknownVersion() const { return m_relay.eventCount() > 0 && !m_result.streamVersion; }
+
     /// Chooses the peer to which the next attempt goes, because this node does not reach the servers of the
     /// service; nothing if the attempt goes to a server.
     std::optional<forward_target> choosePeer() const
@@ -139,7 +163,7 @@
         request.callerTimeLeft = std::max(utils::duration::zero(), m_plan.callerDeadline - now());
         request.lastEventId = m_relay.lastEventId();
         const forward_hop hop { peer.bootId, m_plan.configuration->version, m_record.possibleRuns(),
-            m_record.sent() };
+            m_record.sent(), m_result.streamVersion };
         const header_line line { std::string(forwardHopHeader), encodeHop(hop) };
         std::string head = Wire::encodeForward(m_request, request, line);
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
@@ -155,8 +179,9 @@
     /// Makes one attempt at a server. Returns whether another attempt may follow.
     boost::asio::awaitable<bool> tryNextServer()
     {
-        const auto placement = chooseServer(
-            m_context, m_plan, m_triedServers, m_requestNumber * 31 + m_record.attempts(), now());
+        const choice_constraints constraints { m_triedServers, m_result.streamVersion,
+            m_requestNumber * 31 + m_record.attempts() };
+        const auto placement = chooseServer(m_context, m_plan, constraints, now());
         if (!placement && mayWaitForRoom()) {
             co_await waitForRoom();
             co_return true;
@@ -247,7 +272,8 @@
         // may be evacuated, and another request may have taken this node's part of what a cold server takes.
         recordViewAge();
         const catalogue::backend_server* entry = m_context.servers.find(server);
-        if (entry == nullptr || !maySendTo(m_context, m_plan, *entry, now()) || m_result.isViewTooOld) {
+        if (entry == nullptr || !maySendTo(m_context, m_plan, *entry, m_result.streamVersion, now())
+            || m_result.isViewTooOld) {
             m_context.pool.put(server, connection, now());
             co_return attempt_outcome::NotSent;
         }
@@ -263,12 +289,13 @@
         m_context.rejections.recordSent(server, now());
         m_context.metrics.countViewAge(m_result.viewAge);
         m_result.serverDataCentre = entry->dataCentre;
+        const decisions::version_key version = decisions::versionKey(entry->softwareVersion);
         const copy_source source = copySource(m_context, m_plan, *entry, now());
         std::string head = Wire::encodeRequest(m_request, makeRequest(*entry, source));
         m_tracker.begin(*entry, unreadTokens(source), m_result.placement, now());
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
         m_relay.startTimeout(firstResponseTimeout(m_plan));
-        const attempt_outcome outcome = co_await m_relay.exchange(server, connection);
+        const attempt_outcome outcome = co_await m_relay.exchange(server, version, connection);
         m_tracker.end(outcome, m_result.status, now());
         m_scope->setConnection(nullptr);
         if (outcome == attempt_outcome::Answered || outcome == attempt_outcome::NotRun
@@ -381,6 +408,11 @@
         }
         if (m_result.refused)
             kind = m_result.refused->refusal.kind;
+        else if (m_result.origin.source == decisions::origin_source::Unknown)
+            kind = utils::error_kind::StreamOriginUnknown;
+        else if (kind == utils::error_kind::NoServer && m_result.streamVersion
+            && !isVersionServed(m_context, m_plan, *m_result.streamVersion))
+            kind = utils::error_kind::StreamVersionGone;
         utils::failure failure = utils::makeFailure(kind);
         if (m_result.refused)
             failure.retryAfter = m_result.refused->refusal.retryAfter;
@@ -397,6 +429,7 @@
 
     node_context& m_context;
     peer_forwarder& m_forwarder;
+    stream_directory& m_streams;
     const client_request& m_request;
     const request_plan& m_plan;
     std::shared_ptr<stop_scope> m_scope;
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -54,6 +54,12 @@
     if (request.lastEventId) {
         fields.push_back({ "resumed_after", std::to_string(*request.lastEventId) });
         fields.push_back({ "resumes", request.resumedRequest });
+        fields.push_back({ "origin", std::string(decisions::toString(result.origin.source)) });
+        fields.push_back({ "origin_age_ms", millisecondsText(result.origin.age) });
+        fields.push_back({ "origin_took_ms", millisecondsText(result.origin.took) });
+        if (result.streamVersion)
+            fields.push_back(
+                { "stream_version", context.versions.nameOf(plan.service, *result.streamVersion) });
     }
     if (request.hop)
         fields.push_back({ "forwarded", "yes" });
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -29,6 +29,9 @@
 constexpr utils::duration otherNodeRetryAfter = std::chrono::milliseconds(60);
 // A copy that takes longer than this share of the prefill time saves too little.
 constexpr double maxCopyTimeShare = 0.5;
+// Part of the drain time in which a draining server still gets requests that are bound to its version. The
+// rest covers the delay of the news and of the request.
+constexpr int drainTimeDivisor = 4;
 // Refused callers are told to retry after one to two times the base time, so that they do not all return at
 // the same time.
 constexpr double retryJitter = 1.0;
@@ -107,6 +110,38 @@
         failures };
 }
 
+bool isOfVersion(const catalogue::backend_server& server, decisions::version_key version)
+{
+    return decisions::versionKey(server.softwareVersion) == version;
+}
+
+/// Whether a server that drains may still get requests that no other server can take.
+bool mayTakeWhileDraining(
+    const node_context& context, const catalogue::backend_server& server, utils::time_point now)
+{
+    const auto drainingFor = context.servers.drainingFor(server.id, now);
+    return drainingFor && *drainingFor <= context.options.drainTime / drainTimeDivisor
+        && !context.servers.isEvacuated(server.dataCentre);
+}
+
+/// The servers among which a request may be placed. Draining ones only where no other has the version that
+/// the request is bound to.
+std::vector<const catalogue::backend_server*> serversFor(const node_context& context,
+    const request_plan& plan, const bound_version& version, utils::time_point now)
+{
+    auto servers = context.servers.usable(plan.service);
+    if (!version)
+        return servers;
+    std::erase_if(servers, [&](const auto* server) { return !isOfVersion(*server, *version); });
+    if (!servers.empty())
+        return servers;
+    servers = context.servers.present(plan.service);
+    std::erase_if(servers, [&](const auto* server) {
+        return !isOfVersion(*server, *version) || !mayTakeWhileDraining(context, *server, now);
+    });
+    return servers;
+}
+
 /// The servers of the service that are not among the candidates. Precondition: these are ordered by id.
 decisions::excluded_servers excludedServers(const node_context& context, const std::string& service,
     const std::vector<decisions::server_candidate>& candidates, utils::time_point now)
@@ -181,29 +216,32 @@
 }
 
 bool maySendTo(node_context& context, const request_plan& plan, const catalogue::backend_server& server,
-    utils::time_point now)
+    const bound_version& version, utils::time_point now)
 {
+    if (version && !isOfVersion(server, *version))
+        return false;
     const auto hasRoom = [&] {
         const decisions::load_total load = context.loads.total(server.id, now);
         const double unheard = (context.loads.peerScale(now) - 1) * load.peerRequests;
         const double requests = load.requests + (load.isReported ? 0 : unheard);
         return context.rejections.maySend(plan.service, server.id, requests, server.slots, now);
     };
-    return context.servers.isUsable(server.id) && isAllowedIn(plan, context.options, server.dataCentre)
+    return (context.servers.isUsable(server.id) || (version && mayTakeWhileDraining(context, server, now)))
+        && isAllowedIn(plan, context.options, server.dataCentre)
         && (!context.rejections.isLimited(plan.service, now) || hasRoom())
         && (!context.isCold(server.id, plan.coldStart, now)
             || context.coldStarts.maySend(server.id, plan.coldStart->requestsPerSecond, now));
 }
 
 std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
-    const std::set<utils::server_id>& tried, std::uint64_t salt, utils::time_point now)
+    const choice_constraints& constraints, utils::time_point now)
 {
     std::vector<decisions::server_candidate> candidates;
-    for (const catalogue::backend_server* server : context.servers.usable(plan.service)) {
-        if (tried.contains(server->id) || !isAllowedIn(plan, context.options, server->dataCentre))
+    for (const catalogue::backend_server* server : serversFor(context, plan, constraints.version, now)) {
+        if (constraints.tried.contains(server->id) || !isAllowedIn(plan, context.options, server->dataCentre))
             continue;
         // A weight of zero keeps the server in the mean load by which the others are bounded.
-        const double weight = maySendTo(context, plan, *server, now)
+        const double weight = maySendTo(context, plan, *server, constraints.version, now)
             ? context.health.weight(plan.service, server->id, now)
             : 0;
         candidates.push_back(candidateOf(*server, plan, weight, context.failures.countAt(server->id, now)));
@@ -217,13 +255,21 @@
     };
     if (std::ranges::any_of(candidates, isResponsive))
         std::erase_if(candidates, [&](const auto& candidate) { return !isResponsive(candidate); });
-    decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre, salt,
-        plan.urgency, plan.route->targetLatency, context.responseTimesOf(plan.service) };
+    decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre,
+        constraints.salt, plan.urgency, plan.route->targetLatency, context.responseTimesOf(plan.service) };
     if (plan.isEngine)
         query.excluded = excludedServers(context, plan.service, candidates, now);
     return context.choice.choose(candidates, query, context.loads, now);
 }
 
+bool isVersionServed(const node_context& context, const request_plan& plan, decisions::version_key version)
+{
+    const auto isServing
+        = [&](const auto* server) { return !server->isDraining && isOfVersion(*server, version); };
+    return std::ranges::any_of(context.servers.present(plan.service), isServing)
+        || std::ranges::any_of(context.servers.usable(plan.service), isServing);
+}
+
 std::optional<overload_refusal> refuseOverload(node_context& context, const client_request& request,
     const request_plan& plan, const decisions::placement& chosen, utils::time_point now)
 {
@@ -257,7 +303,10 @@
     std::vector<decisions::server_candidate> holders;
     for (const catalogue::backend_server* server : context.servers.present(plan.service)) {
         // A copy from a server that is down would block until that server is back.
-        if (!context.isSilent(plan.service, server->id, now) && !context.health.isInBackoff(server->id, now)
+        // What servers of different versions hold does not fit together.
+        if (server->softwareVersion == chosen.softwareVersion
+            && !context.isSilent(plan.service, server->id, now)
+            && !context.health.isInBackoff(server->id, now)
             && isAllowedIn(plan, context.options, server->dataCentre))
             holders.push_back(candidateOf(*server, plan, 1));
     }
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -39,15 +39,29 @@
 /// and the workspace both allow. A data centre whose region is not known is in none. Thread safe.
 bool isAllowedIn(const request_plan& plan, const node_options& options, const std::string& dataCentre);
 
-/// Whether the request may be sent to this server now: the server is usable, in an allowed region and, if it
-/// is cold, this node may send to it. To be asked again right before bytes go out.
+/// The software version that a request is bound to, because its caller has events of it; nothing: any
+/// version.
+using bound_version = std::optional<decisions::version_key>;
+
+/// Whether the request may be sent to this server now: the server is usable, of the version that the request
+/// is bound to, in an allowed region and, if it is cold, this node may send to it. To be asked again right
+/// before bytes go out.
 bool maySendTo(node_context& context, const request_plan& plan, const catalogue::backend_server& server,
-    utils::time_point now);
+    const bound_version& version, utils::time_point now);
+
+/// What the choice of a server depends on besides the plan.
+struct choice_constraints {
+    const std::set<utils::server_id>& tried; ///< not to be chosen again
+    bound_version version;
+    std::uint64_t salt = 0; ///< orders equal candidates
+};
 
-/// Chooses a backend server that is not in `tried`; nullopt when there is none. `salt` orders equal
-/// candidates.
+/// Chooses a backend server; nullopt when there is none.
 std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
-    const std::set<utils::server_id>& tried, std::uint64_t salt, utils::time_point now);
+    const choice_constraints& constraints, utils::time_point now);
+
+/// Whether a server of that version has an entry and does not drain.
+bool isVersionServed(const node_context& context, const request_plan& plan, decisions::version_key version);
 
 /// A refusal because of overload, with the values that decided it.
 struct overload_refusal {
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -5,8 +5,10 @@
 #include "clock.h"
 #include "eventscanner.h"
 #include "flowresult.h"
+#include "forwardhop.h"
 #include "responsewriter.h"
 #include "stopscope.h"
+#include "streamdirectory.h"
 #include "wireprotocol.h"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +29,7 @@
         const attempt_record& record;
         attempt_tracker& tracker;
         flow_result& result;
+        stream_directory& streams;
     };
 
     explicit response_relay(const dependencies& dependencies)
@@ -38,6 +41,7 @@
         , m_record(dependencies.record)
         , m_tracker(dependencies.tracker)
         , m_result(dependencies.result)
+        , m_streams(dependencies.streams)
         , m_scanner(dependencies.request.lastEventId)
     {
     }
@@ -54,9 +58,12 @@
             [this, limit](utils::time_point present) { return m_tracker.timeoutAt(limit, present); }, now());
     }
 
-    /// Reads the response to the request that was just sent to a server and forwards it.
-    boost::asio::awaitable<attempt_outcome> exchange(utils::server_id server, http_connection_ptr connection)
+    /// Reads the response to the request that was just sent to a server of that software version and forwards
+    /// it.
+    boost::asio::awaitable<attempt_outcome> exchange(
+        utils::server_id server, decisions::version_key version, http_connection_ptr connection)
     {
+        m_attemptVersion = version;
         m_isFromPeer = false;
         m_peerFailure.reset();
         m_scanner.restart();
@@ -66,6 +73,7 @@
             if (error)
                 co_return outcomeOf(error);
             response = Wire::decodeResponse(connection->head());
+            (void)takeVersion(response);
             // A duplicate response to an earlier request may come first.
             if (response.requestId.empty() || response.requestId == m_request.requestId)
                 break;
@@ -107,6 +115,7 @@
         if (error)
             co_return outcomeOf(error);
         server_response response = Wire::decodeResponse(connection->head());
+        m_attemptVersion = takeVersion(response);
         const bool isOwn = response.requestId.empty() || response.requestId == m_request.requestId;
         const bool isServers = response.isSigned && !response.isEncoded;
         if (!isOwn || (response.status < firstErrorStatus && !isServers))
@@ -227,8 +236,8 @@
     boost::asio::awaitable<attempt_outcome> relayStream(
         server_response response, http_connection_ptr connection)
     {
-        if (!m_streamHead)
-            m_streamHead = std::move(response);
+        if (!m_writer.hasBegun())
+            setStreamHead(std::move(response));
         m_result.status = m_streamHead->status;
         std::string bytes;
         bool isFirst = true;
@@ -241,6 +250,8 @@
                 recordEventGap(now());
                 if (isFirst) {
                     isFirst = false;
+                    if (!bindVersion())
+                        co_return attempt_outcome::Garbled;
                     m_tracker.firstEventReceived(now());
                     m_context.metrics.countFirstEvent(m_plan.service, now() - m_request.arrivedAt);
                     startTimeout(eventGapTimeout(m_plan));
@@ -262,6 +273,42 @@
         co_return co_await finishChunks();
     }
 
+    /// Removes the line by which a peer tells the version of the events, and returns what it says. Nothing if
+    /// there is none.
+    static bound_version takeVersion(server_response& response)
+    {
+        bound_version version;
+        std::erase_if(response.forwardedHeaders, [&](const header_line& line) {
+            const bool isVersion = boost::beast::iequals(line.name, streamVersionHeader);
+            if (isVersion)
+                version = decodeVersion(line.value);
+            return isVersion;
+        });
+        return version;
+    }
+
+    void setStreamHead(server_response response)
+    {
+        m_streamHead = std::move(response);
+        if (m_request.hop && m_attemptVersion)
+            m_streamHead->forwardedHeaders.push_back(
+                { std::string(streamVersionHeader), encodeVersion(*m_attemptVersion) });
+    }
+
+    /// Binds the caller's stream to the version of the first events. Returns false if the caller has events
+    /// of another version already.
+    bool bindVersion()
+    {
+        if (m_result.streamVersion && m_result.streamVersion != m_attemptVersion)
+            return false;
+        const bool isNew = !m_hasForwarded;
+        m_hasForwarded = true;
+        m_result.streamVersion = m_attemptVersion;
+        if (isNew && m_attemptVersion)
+            m_streams.forwarded(m_plan, m_request, *m_attemptVersion);
+        return true;
+    }
+
     boost::asio::awaitable<attempt_outcome> finishChunks()
     {
         const bool isWritten = co_await m_writer.writeEnd();
@@ -328,8 +375,11 @@
     const attempt_record& m_record;
     attempt_tracker& m_tracker;
     flow_result& m_result;
+    stream_directory& m_streams;
     event_scanner m_scanner;
-    std::optional<server_response> m_streamHead; ///< from the first attempt; later ones only add events
+    std::optional<server_response> m_streamHead; ///< from the attempt that brought the first events
+    bound_version m_attemptVersion; ///< of the server whose response is read; nothing: a peer did not tell
+    bool m_hasForwarded = false; ///< events of the stream
     std::optional<server_response> m_fallback; ///< an error response to forward if no later attempt succeeds
     std::string m_fallbackBody;
     bool m_isFromPeer = false; ///< the last response came from a peer
--- a/src/libs/gateway/store.cpp
+++ b/src/libs/gateway/store.cpp
@@ -13,7 +13,8 @@
 
 std::string_view toString(store_call call)
 {
-    constexpr std::array<std::string_view, 4> names { "read_all", "watch", "read_stale", "read_newest" };
+    constexpr std::array<std::string_view, 5> names { "read_all", "watch", "write", "read_stale",
+        "read_newest" };
     return names.at(static_cast<std::size_t>(call));
 }
 
--- a/src/libs/gateway/store.h
+++ b/src/libs/gateway/store.h
@@ -69,6 +69,7 @@
 enum class store_call {
     ReadAll,
     Watch,
+    Write, ///< of one item, under a condition
     ReadStale, ///< of the configuration; may be seconds old
     ReadNewest ///< of the configuration
 };
@@ -95,4 +96,14 @@
     { store.close() };
 };
 
+/// A store that can also be written to.
+template <class Store>
+concept writable_store
+    = watched_store<Store> && requires(Store& store, std::string text, std::uint64_t revision)
+{
+    {
+        store.write(text, text, revision)
+        } -> std::same_as<boost::asio::awaitable<store_status>>;
+};
+
 } // namespace gateway
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/storeview.h
@@ -38,10 +38,13 @@
         } -> std::same_as<utils::result<catalogue::backend_server>>;
 };
 
+/// Key of the record of the software versions in use, see decisions::version_history. The nodes write it.
+inline constexpr std::string_view versionRecordKey = "software-versions";
+
 /// This node's view of the store, received from the store itself or from peers, and applied to the context.
 /// The revisions of the store define the order: an older item never replaces a newer one, whatever its
-/// source. Evacuations travel with the entries of backend servers: both say where no request may be sent.
-/// Not thread safe.
+/// source. Evacuations and the record of software versions travel with the entries of backend servers: they
+/// all say where requests may be sent. Not thread safe.
 template <catalogue_codec Codec> class store_view {
 public:
     /// Precondition: the context outlives this object.
@@ -63,7 +66,7 @@
                     return utils::fail(utils::error_kind::InvalidDocument,
                         "the version is not higher than the one in force");
                 m_context.configuration = configuration;
-                m_context.updateHealth();
+                m_context.updateServers();
                 utils::logEvent(utils::event::ConfigurationInForce,
                     { { "version", std::to_string(configuration->version) },
                         { "revision", std::to_string(item.revision) }, { "source", std::string(source) } });
@@ -76,10 +79,11 @@
             });
     }
 
-    /// Whether the item is an entry of a backend server or an evacuation.
+    /// Whether the item is an entry of a backend server, an evacuation or the record of software versions.
     static bool isServerItem(const store_item& item)
     {
-        return item.key.starts_with(Codec::serverPrefix()) || isEvacuation(item.key);
+        return item.key.starts_with(Codec::serverPrefix()) || isEvacuation(item.key)
+            || item.key == versionRecordKey;
     }
 
     /// Replaces all entries of backend servers and all evacuations by those at revision `asOf`.
@@ -105,12 +109,14 @@
             m_servers[item.key] = item;
             if (isEvacuation(item.key))
                 evacuated.insert(dataCentreOf(item.key));
+            else if (item.key == versionRecordKey)
+                applyVersionRecord({ item, false }, now);
             else if (auto entry = decode(item))
                 entries.push_back(std::move(*entry));
         }
         m_context.servers.replaceAll(entries, now, isAuthoritative);
         replaceEvacuations(evacuated, now);
-        m_context.updateHealth();
+        m_context.updateServers();
     }
 
     /// Applies a change of one entry or evacuation. `isAuthoritative` as for applyServers().
@@ -130,9 +136,11 @@
         }
         if (isEvacuation(key))
             setEvacuated(dataCentreOf(key), !change.isRemoved, now, source);
+        else if (key == versionRecordKey)
+            applyVersionRecord(change, now);
         else
             changeServer(change, now, isAuthoritative, source);
-        m_context.updateHealth();
+        m_context.updateServers();
     }
 
     /// Removes entries that were kept as lapsed in an outage. To be called with the servers' revision of a
@@ -146,7 +154,7 @@
             if (removedAt == 0 || removedAt > revision)
                 continue;
             m_context.servers.remove(id, now, true);
-            m_context.updateHealth();
+            m_context.updateServers();
             logServer(id, "peer");
         }
     }
@@ -244,6 +252,24 @@
         logServer(id, source);
     }
 
+    void applyVersionRecord(const store_change& change, utils::time_point now)
+    {
+        const std::uint64_t revision = change.item.revision;
+        if (revision <= m_context.versions.recordRevision())
+            return;
+        std::optional<decisions::service_versions> record;
+        if (!change.isRemoved)
+            record = decisions::decodeRecord(change.item.value);
+        for (const auto& [service, versions] : record.value_or(decisions::service_versions())) {
+            std::string names;
+            for (const std::string& version : versions)
+                names += (names.empty() ? "" : " ") + version;
+            utils::logEvent(utils::event::SoftwareVersions,
+                { { "service", service }, { "versions", names }, { "revision", std::to_string(revision) } });
+        }
+        m_context.versions.applyRecord(std::move(record), revision, now);
+    }
+
     void replaceEvacuations(const std::set<std::string>& evacuated, utils::time_point now)
     {
         const std::set<std::string> before = m_context.servers.evacuated();
--- a/src/libs/gateway/viewupdater.h
+++ b/src/libs/gateway/viewupdater.h
@@ -93,7 +93,7 @@
             = std::chrono::duration_cast<std::chrono::milliseconds>(present - m_context.evidenceAt);
         heartbeat.evidenceAgeMs
             = static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), maxEvidenceAgeMs));
-        heartbeat.followsStore = m_follows && m_isStoreReachable && m_view.isComplete();
+        heartbeat.followsStore = followsStore();
         heartbeat.isSettled = heartbeat.followsStore && !m_context.servers.isSettling(present);
     }
 
@@ -104,6 +104,8 @@
     }
     /// Whether the view suffices to serve requests.
     bool isComplete() const { return m_view.isComplete(); }
+    /// Whether the view comes from the store itself, as far as this node knows.
+    bool followsStore() const { return m_follows && m_isStoreReachable && m_view.isComplete(); }
     /// False after a failed call to the store, until a call succeeds or tick() finds that this node need not
     /// follow the store.
     bool isStoreReachable() const { return m_isStoreReachable; }
--- a/src/libs/utils/errorkind.h
+++ b/src/libs/utils/errorkind.h
@@ -29,6 +29,8 @@
     NoServer,
     LoadBound,
     NodeNotCurrent,
+    StreamOriginUnknown,
+    StreamVersionGone,
     PlatformUnavailable,
     ShuttingDown,
     PoisonRequest,
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -41,6 +41,8 @@
         "A peer requested a copy of this node's view of the store" },
     event_info { event::EvacuationChanged, Info, "evacuation_changed",
         "The evacuation of a data centre has begun or ended" },
+    event_info { event::SoftwareVersions, Info, "software_versions",
+        "The record of the software versions of a service has changed" },
     event_info { event::RequestDone, Info, "request_done", "A request was answered completely" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info {
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -37,6 +37,7 @@
     ViewCopyTaken = 3009,
     ViewCopySent = 3010,
     EvacuationChanged = 3011,
+    SoftwareVersions = 3012,
     RequestDone = 4001,
     RequestRefused = 4002,
     AttemptFailed = 4003,
--- a/tests/auto/gateway/tst_streamversions.cpp
+++ b/tests/auto/gateway/tst_streamversions.cpp
@@ -83,6 +83,9 @@
         const auto found = reply.headers.find(signatureHeader);
         return found == reply.headers.end() ? std::string() : versionOf(engineOf(found->second));
     }
+    /// A request for a stream. Each has another body: requests with the same one count as one that crashes
+    /// servers.
+    http_question chat() { return question("POST", "/chat/1", "hi " + std::to_string(++m_chats)); }
     /// Begins a stream, of which the caller gets the first events only.
     struct begun_stream {
         std::string requestId;
@@ -90,15 +93,15 @@
     };
     begun_stream begin(std::size_t nodeIndex)
     {
-        const http_question asked = question("POST", "/chat/1", "hi");
+        const http_question asked = chat();
         const http_reply reply = ask(node(nodeIndex), asked);
         BOOST_REQUIRE(reply.status == 200);
         return { asked.headers.at("Lycheefront-Attempt-Id"), versionOf(reply) };
     }
     /// Takes the stream up as a caller does that has `resumedAfter` events of it.
-    http_reply resume(std::size_t nodeIndex, const std::string& resumes, const std::string& path = "/chat/1")
+    http_reply resume(std::size_t nodeIndex, const std::string& resumes)
     {
-        http_question asked = question("POST", path, "hi");
+        http_question asked = chat();
         asked.headers["Last-Event-Id"] = std::to_string(resumedAfter);
         if (!resumes.empty())
             asked.headers["Resumes"] = resumes;
@@ -129,6 +132,7 @@
     }
 
     std::map<std::string, std::string> m_versions; ///< by engine
+    unsigned m_chats = 0;
 };
 
 std::string restOfStream()
@@ -171,7 +175,7 @@
         world.engine(i).act(replica_act::StreamCutOnce);
     unsigned whole = 0;
     for (unsigned i = 0; i < streams; ++i) {
-        const http_reply reply = world.ask(world.node(i % nodes), world.question("POST", "/chat/1", "hi"));
+        const http_reply reply = world.ask(world.node(i % nodes), world.chat());
         whole += reply.isWhole && reply.body == eventsUpTo(events) ? 1 : 0;
     }
     BOOST_TEST(whole == streams);
@@ -186,7 +190,7 @@
         world.engine(i).act(replica_act::StreamCutOnce);
     for (unsigned i = 0; i < nodes; ++i) {
         const auto askedAt = std::chrono::steady_clock::now();
-        const http_reply reply = world.ask(world.node(i), world.question("POST", "/chat/1", "hi"));
+        const http_reply reply = world.ask(world.node(i), world.chat());
         BOOST_TEST(!reply.isWhole);
         BOOST_TEST(reply.body == eventsUpTo(resumedAfter));
         BOOST_TEST((std::chrono::steady_clock::now() - askedAt < std::chrono::seconds(1)));
@@ -268,6 +272,7 @@
 {
     version_testbed world({ "v1", "v1.1" });
     const auto stream = world.begin(0);
+    BOOST_REQUIRE(waitUntil([&] { return world.store().value("software-versions").value_or("") != ""; }));
     for (std::size_t i = 0; i < engines / 2; ++i)
         world.withdraw(world.engine(i));
     for (std::size_t i = 0; i < nodes; ++i)
--- a/tests/auto/platform/tst_decoders.cpp
+++ b/tests/auto/platform/tst_decoders.cpp
@@ -134,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(incomplete_entry_is_rejected)
 {
     const std::string entry
-        = R"({"backend":"e","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready","born":1700})";
+        = R"({"backend":"e","address":"10.0.0.9:80","zone":"a","resourceVersion":"v1","slots":64,"state":"ready","born":1700})";
     const auto server = serverOf(entry);
     BOOST_REQUIRE(server.has_value());
     BOOST_TEST(server->service == "e");
@@ -146,11 +146,21 @@
     BOOST_TEST(serverOf(replaced(entry, "ready", "draining"))->isDraining);
     BOOST_TEST(!serverOf(replaced(entry, "ready", "asleep")).has_value());
     BOOST_TEST(!serverOf(replaced(entry, "\"slots\":64", "\"slots\":\"64\"")).has_value());
+    BOOST_TEST(server->softwareVersion == "v1");
     BOOST_TEST(!serverOf(replaced(entry, "\"address\":\"10.0.0.9:80\",", "")).has_value());
+    BOOST_TEST(!serverOf(replaced(entry, "\"resourceVersion\":\"v1\",", "")).has_value());
+    BOOST_TEST(!serverOf(replaced(entry, "\"v1\"", "1")).has_value());
     BOOST_TEST(!serverOf("\xff").has_value());
     BOOST_TEST(!serverOf("").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(write_names_the_revision_that_it_replaces)
+{
+    BOOST_TEST(platform::encodeWrite("versions", "node-1", 412)
+        == R"({"expectedRev":[{"key":"versions","revision":412}],)"
+           R"("puts":[{"key":"versions","value":"bm9kZS0x","lease":0}],"remove":[]})");
+}
+
 BOOST_AUTO_TEST_CASE(store_answers_are_decoded_or_unreadable)
 {
     const auto page = platform::decodeRange(
--- a/tests/standins/platform/storestandin.cpp
+++ b/tests/standins/platform/storestandin.cpp
@@ -130,6 +130,11 @@
         body = read.value_or(body);
         co_return co_await standins_common::sendAnswer(socket, request, read ? 200 : 404, std::move(body));
     }
+    if (url->path() == "/-/kv-txn") {
+        const auto [status, written] = write(request.body());
+        body = written;
+        co_return co_await standins_common::sendAnswer(socket, request, status, std::move(body));
+    }
     if (url->path() != "/-/kv-watch")
         co_return co_await standins_common::sendAnswer(socket, request, 404, std::move(body));
     const std::uint64_t after = std::stoull(parameter(*url, "after"));
@@ -150,6 +155,30 @@
     }
 }
 
+std::optional<std::string> store_standin::value(const std::string& key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? std::nullopt : std::optional(found->second.value);
+}
+
+std::pair<int, std::string> store_standin::write(const std::string& call)
+{
+    const json::value parsed = json::parse(call);
+    const json::object& condition = parsed.at("expectedRev").as_array().at(0).as_object();
+    const json::object& put = parsed.at("puts").as_array().at(0).as_object();
+    const std::string key(put.at("key").as_string());
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_items.find(key);
+    const std::uint64_t revision = found == m_items.end() ? 0 : found->second.revision;
+    if (condition.at("key").as_string() != key
+        || condition.at("revision").to_number<std::uint64_t>() != revision)
+        return { 412, "{\"items\":[]}" };
+    m_items[key] = { utils::fromBase64(put.at("value").as_string()), ++m_revision };
+    m_history.push_back({ key, m_revision, m_items[key].value });
+    return { 200, json::serialize(json::object { { "revision", m_revision } }) };
+}
+
 std::string store_standin::rangeJson(unsigned short port, const std::string& prefix) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/platform/storestandin.h
+++ b/tests/standins/platform/storestandin.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace platform_standin {
 
@@ -20,8 +21,9 @@
     Silent ///< no answer at all
 };
 
-/// The platform's store as its pages describe it, as far as a gateway uses it: range, single items and watch.
-/// Changes come from the test, as they come from operators and backend servers. Thread safe.
+/// The platform's store as its pages describe it, as far as a gateway uses it: range, single items, watch,
+/// and writes of single items under a condition. Changes come from the test, as they come from operators and
+/// backend servers. Thread safe.
 class store_standin {
 public:
     explicit store_standin(standin_thread& thread);
@@ -34,6 +36,8 @@
     void setSubstitutions(unsigned short port, std::map<std::string, std::string> texts);
     std::uint64_t put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
+    /// The value of an item; nothing if there is none.
+    std::optional<std::string> value(const std::string& key) const;
     /// Watches from before now get 410.
     void forgetHistory();
     /// Watches that wait on that port hear nothing for as long as it is set.
@@ -60,6 +64,8 @@
     boost::asio::awaitable<bool> answer(
         unsigned short port, standins_common::http_request& request, standins_common::tcp_socket& socket);
     std::string rangeJson(unsigned short port, const std::string& prefix) const;
+    /// Writes an item. Returns the status and the body of the answer.
+    std::pair<int, std::string> write(const std::string& call);
     /// Nothing if there is no such item.
     std::optional<std::string> readJson(unsigned short port, const std::string& key) const;
     std::optional<std::string> changesJson(
