Soak: engines of several software versions, releases, and callers that take streams up

Events name the version that wrote them; callers take up streams that broke off or that they gave up, and name the call that began them. Two rules are checked from what callers saw: no stream holds events of two versions, and with bounds, of the streams taken up at nodes in touch, while two engines of the version serve, at least half as many go on as of new ones begin. A new fault replaces all or all but one engine by ones of a new version, drawn apart from the others, so that earlier seeds keep their faults.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,10 +29,16 @@
     const auto bounds = FLAGS_bounds ? std::optional(soak::soak_bounds {}) : std::nullopt;
     const std::vector<std::string> broken = soak::brokenPromises(evidence, bounds);
     std::size_t served = 0;
-    for (const soak::call_record& call : evidence.calls)
+    std::size_t resumed = 0;
+    std::size_t wentOn = 0;
+    for (const soak::call_record& call : evidence.calls) {
         served += call.status == 200 && call.isWhole ? 1 : 0;
+        resumed += call.resumes.empty() ? 0 : 1;
+        wentOn += call.resumes.empty() || call.versions.empty() ? 0 : 1;
+    }
     std::cout << "seed " << seed << ": " << evidence.calls.size() << " calls, " << served << " served, "
-              << broken.size() << " promises broken" << std::endl;
+              << wentOn << " of " << resumed << " streams taken up went on, " << broken.size()
+              << " promises broken" << std::endl;
     for (const std::string& each : broken)
         std::cout << "  " << each << '\n';
     if (broken.empty())
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <thread>
 
@@ -24,6 +25,7 @@
 constexpr duration betweenCalls = std::chrono::milliseconds(10);
 constexpr std::uint64_t givesUp = 12; // one request in so many is given up early
 constexpr std::uint64_t movesOn = 20; // after one answer in so many a caller goes to another node
+constexpr unsigned mostResumptions = 3; // of one stream
 constexpr std::uint64_t secondKey = 4; // one request in so many uses the key that is taken away at times
 
 struct call_shape {
@@ -46,12 +48,21 @@
     request.set(http::field::authorization, call.usesSecondKey ? "Token key-2" : "Token key-1");
     request.set("Lycheefront-Attempt-Id", call.id);
     request.set("Lycheefront-Deadline-Ms", std::to_string(patience.count()));
+    if (!call.resumes.empty()) {
+        request.set("Last-Event-Id", std::to_string(call.resumedAfter));
+        request.set("Resumes", call.resumes);
+    }
     if (shape.method == http::verb::post)
         request.body() = call.id;
     request.prepare_payload();
     return request;
 }
 
+const call_shape& shapeOf(call_kind kind)
+{
+    return *std::ranges::find(shapes, kind, &call_shape::kind);
+}
+
 } // namespace
 
 /// One connection to a node.
@@ -122,7 +133,7 @@
     }
 }
 
-void soak_caller::askOnce()
+bool soak_caller::send(call_record call, duration wait)
 {
     if (!m_connection) {
         m_node = draw(m_nodes.size());
@@ -130,21 +141,47 @@
     }
     if (!m_connection->isOpen()) {
         m_connection.reset();
-        return;
+        return false;
     }
-    const call_shape& shape = shapes.at(draw(shapes.size()));
-    call_record call;
     call.id = m_name + "-" + std::to_string(m_calls.size());
-    call.kind = shape.kind;
     call.node = m_node;
-    call.usesSecondKey = draw(secondKey) == 0;
     call.sentAt = std::chrono::steady_clock::now();
-    const duration wait = draw(givesUp) == 0 ? shortPatience : patience;
-    m_connection->ask(makeRequest(shape, call), wait, call);
+    m_connection->ask(makeRequest(shapeOf(call.kind), call), wait, call);
     call.endedAt = std::chrono::steady_clock::now();
+    takeVersions(call);
     m_calls.push_back(std::move(call));
     if (!m_connection->isOpen() || draw(movesOn) == 0)
         m_connection.reset();
+    return true;
+}
+
+void soak_caller::askOnce()
+{
+    call_record call;
+    call.kind = shapes.at(draw(shapes.size())).kind;
+    call.usesSecondKey = draw(secondKey) == 0;
+    const duration wait = draw(givesUp) == 0 ? shortPatience : patience;
+    if (send(call, wait) && call.kind == call_kind::Chat)
+        resumeLast();
+}
+
+void soak_caller::resumeLast()
+{
+    const call_record began = m_calls.back();
+    unsigned had = lastEvent(began.body);
+    bool isWhole = began.isWhole || had == 0;
+    for (unsigned i = 0; i < mostResumptions && !isWhole; ++i) {
+        call_record call;
+        call.kind = began.kind;
+        call.usesSecondKey = began.usesSecondKey;
+        call.resumes = began.id;
+        call.resumedAfter = had;
+        if (!send(call, patience))
+            continue;
+        const call_record& last = m_calls.back();
+        had = std::max(had, lastEvent(last.body));
+        isWhole = last.status == static_cast<int>(http::status::ok) && last.isWhole;
+    }
 }
 
 } // namespace soak
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -18,6 +18,7 @@
 
 /// A caller that asks one request after another. It keeps a connection for as long as the node does, and goes
 /// to another node when it is closed or, now and then, by itself; some of its requests it gives up early.
+/// Streams that break off or that it has given up it takes up again, mostly at another node.
 class soak_caller {
 public:
     /// `name` begins the ids of its requests.
@@ -33,7 +34,11 @@
     class connection;
 
     std::uint64_t draw(std::uint64_t below);
+    /// Sends the call over the connection that is open, or a new one, and records it. False if there is none.
+    bool send(call_record call, duration wait);
     void askOnce();
+    /// Takes a stream up that has broken off.
+    void resumeLast();
 
     std::string m_name;
     std::vector<node_address> m_nodes;
--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <sstream>
 
 namespace soak {
 
@@ -11,6 +12,10 @@
 constexpr unsigned runsOfRepeatable = 2; // the routes' limit of attempts
 constexpr duration retryWindow = std::chrono::seconds(10); // the nodes' default
 constexpr std::size_t toleratedOverruns = 3; // the platform counts them from the fourth
+constexpr std::size_t toleratedMixed = 2; // streams of two versions; the platform counts them from the third
+constexpr std::size_t fewestResumed = 12; // streams taken up, before the platform looks at their share
+constexpr double smallestShareOfNew = 0.5; // that go on, against the share of new streams that begin
+constexpr duration knownAfter = std::chrono::seconds(1); // an engine that has just been announced
 
 bool mayRepeat(call_kind kind)
 {
@@ -45,6 +50,19 @@
     std::vector<time_point> retries; ///< in order
 };
 
+/// How many of some calls did well.
+struct share_count {
+    std::size_t all = 0;
+    std::size_t good = 0;
+
+    void add(bool isGood)
+    {
+        ++all;
+        good += isGood ? 1 : 0;
+    }
+    double share() const { return all == 0 ? 1 : static_cast<double>(good) / static_cast<double>(all); }
+};
+
 std::size_t countWithin(const std::vector<time_point>& times, time_point from, duration span)
 {
     const auto begin = std::ranges::lower_bound(times, from);
@@ -82,6 +100,9 @@
             m_broken.push_back(std::to_string(overruns) + " requests ran more often than their route allows");
         for (service_traffic& traffic : m_traffic)
             checkRetries(traffic);
+        checkVersions();
+        if (m_bounds)
+            checkResumed();
         for (const std::string& node : m_evidence.ownEnds)
             m_broken.push_back(node + " ended by itself");
         for (const std::string& node : m_evidence.notRecovered)
@@ -147,6 +168,66 @@
         }
     }
 
+    /// All events of a stream, over its caller's tries, come from servers of one version.
+    void checkVersions()
+    {
+        std::map<std::string, std::set<std::string>> versions;
+        for (const call_record& call : m_evidence.calls)
+            versions[call.resumes.empty() ? call.id : call.resumes].insert(
+                call.versions.begin(), call.versions.end());
+        std::string mixed;
+        std::size_t count = 0;
+        for (const auto& [id, each] : versions) {
+            if (each.size() < 2)
+                continue;
+            ++count;
+            mixed += " " + id;
+        }
+        if (count > toleratedMixed)
+            m_broken.push_back(std::to_string(count) + " streams hold events of two versions:" + mixed);
+    }
+
+    /// Of the streams that callers take up, at nodes in touch while two servers of the version serve, at
+    /// least half as many go on as of new streams begin.
+    void checkResumed()
+    {
+        share_count began;
+        share_count wentOn;
+        std::map<std::string, std::string> versionOf;
+        for (const call_record& call : m_evidence.calls) {
+            if (!call.versions.empty() && call.resumes.empty())
+                versionOf[call.id] = call.versions.front();
+        }
+        for (const call_record& call : m_evidence.calls) {
+            if (call.kind != call_kind::Chat || !isInTouch(call.node, call.sentAt))
+                continue;
+            if (call.resumes.empty())
+                began.add(!call.versions.empty());
+            else if (serversOf(versionOf[call.resumes], call.sentAt) >= 2)
+                wentOn.add(!call.versions.empty());
+        }
+        if (wentOn.all >= fewestResumed && wentOn.share() < smallestShareOfNew * began.share())
+            m_broken.push_back(std::to_string(wentOn.good) + " of " + std::to_string(wentOn.all)
+                + " streams went on when they were taken up");
+    }
+
+    std::size_t serversOf(const std::string& version, time_point at) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_evidence.engines, [&](const auto& entry) {
+            const engine_life& engine = entry.second;
+            return engine.version == version && engine.from + knownAfter <= at && at < engine.to
+                && !isEvacuated(entry.first, at);
+        }));
+    }
+
+    bool isEvacuated(const std::string& server, time_point at) const
+    {
+        const auto evacuations = m_evidence.evacuated.find(m_evidence.dataCentres.at(server));
+        return evacuations != m_evidence.evacuated.end()
+            && std::ranges::any_of(evacuations->second,
+                [at](const span& evacuation) { return evacuation.from <= at && at <= evacuation.to; });
+    }
+
     void checkLeaving(const arrival& each, const call_record& call)
     {
         const auto left = m_evidence.leftAt.find(each.server);
@@ -207,7 +288,10 @@
     /// A part of a stream that ended without its end must not look whole; a piece more or less is not own.
     bool isOwnBody(const call_record& call) const
     {
-        return isStream(call.kind) ? call.body == m_evidence.wholeStream : call.body.starts_with("press-");
+        if (!isStream(call.kind))
+            return call.body.starts_with("press-");
+        const std::string had = platform_standin::eventsUpTo(call.resumedAfter);
+        return had + call.body == m_evidence.wholeStream;
     }
 
     void checkRuns(const call_record& call)
@@ -241,6 +325,31 @@
 
 } // namespace
 
+void takeVersions(call_record& call)
+{
+    constexpr std::string_view typeField = "event: ";
+    std::string rest;
+    std::istringstream lines(call.body);
+    for (std::string line; std::getline(lines, line);) {
+        const bool isEnded = !lines.eof();
+        if (line.starts_with(typeField) && isEnded)
+            call.versions.push_back(line.substr(typeField.size()));
+        else
+            rest += line + (isEnded ? "\n" : "");
+    }
+    call.body = std::move(rest);
+    std::ranges::sort(call.versions);
+    call.versions.erase(std::unique(call.versions.begin(), call.versions.end()), call.versions.end());
+}
+
+unsigned lastEvent(const std::string& body)
+{
+    constexpr std::string_view idField = "id: ";
+    const std::size_t end = body.rfind("\n\n");
+    const std::size_t at = end == std::string::npos ? end : body.rfind(idField, end);
+    return at == std::string::npos ? 0 : static_cast<unsigned>(std::stoul(body.substr(at + idField.size())));
+}
+
 std::vector<std::string> brokenPromises(
     const soak_evidence& evidence, const std::optional<soak_bounds>& bounds)
 {
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -39,14 +39,29 @@
     bool isMarked = false; ///< as the answer of a backend server
     std::string answeredId; ///< that the answer names
     std::string body; ///< as far as it came
+    std::string resumes {}; ///< the call that brought the first event of the stream; empty: takes none up
+    unsigned resumedAfter = 0; ///< the last event that the caller had before
+    std::vector<std::string> versions {}; ///< software versions of the servers that wrote the events
 };
 
+/// Moves the types of the events, which name the versions that wrote them, out of the body. Thread safe.
+void takeVersions(call_record& call);
+/// The last whole event in the body of a stream; 0: there is none. Thread safe.
+unsigned lastEvent(const std::string& body);
+
 /// One request as a backend server saw it.
 struct arrival {
     std::string server;
     platform_standin::replica_request request;
 };
 
+/// An engine as the store had it.
+struct engine_life {
+    std::string version; ///< of its software
+    time_point from {};
+    time_point to = time_point::max(); ///< when it drained
+};
+
 /// A span of time.
 struct span {
     time_point from {};
@@ -62,6 +77,7 @@
     std::map<std::string, time_point> leftAt; ///< backend servers, when the store had it
     std::map<std::string, std::string> dataCentres; ///< of each backend server
     std::map<std::string, std::vector<span>> evacuated; ///< by data centre, as the store had it
+    std::map<std::string, engine_life> engines;
     std::vector<span> withoutSecondKey; ///< from the store's knowing to its knowing better
     std::string wholeStream; ///< the body of a stream from its first event to its last
     std::vector<std::string> ownEnds; ///< nodes that ended though nobody ended them
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -16,6 +16,7 @@
 constexpr duration stopTime = std::chrono::seconds(10); // the grace of eight seconds, and the next start
 constexpr duration drainTime
     = std::chrono::seconds(3); // a server stays known after it has said that it leaves
+constexpr duration releasePause = std::chrono::milliseconds(300); // between two engines of a release
 constexpr std::array linkStates { link_state::Slow, link_state::CutToServer, link_state::CutToCaller,
     link_state::Silent, link_state::Refusing };
 constexpr std::array pressActs { replica_act::Cut, replica_act::Hang, replica_act::Shed,
@@ -71,6 +72,8 @@
         return failService(fault);
     case fault_kind::KeyRevoked:
         return takeKeyAway(fault.lasts);
+    case fault_kind::EnginesReleased:
+        return releaseEngines(fault);
     case fault_kind::ConfigurationChanges:
         return m_world.configure(++m_version, m_keysTaken == 0);
     case fault_kind::DataCentreEvacuated:
@@ -200,10 +203,30 @@
             [&standin, isPress] { standin.act(isPress ? replica_act::Answer : replica_act::Stream); });
         return;
     default:
-        announce(server, "draining");
-        m_evidence.leftAt[standin.id()] = now();
-        until(drainTime, [this, &standin] { m_world.withdraw(standin); });
-        return replaceServer(server);
+        return leave(server);
+    }
+}
+
+void soak_run::leave(std::size_t server)
+{
+    replica_standin& standin = *m_servers[m_serving[server]];
+    announce(server, "draining");
+    m_evidence.leftAt[standin.id()] = now();
+    if (const auto engine = m_evidence.engines.find(standin.id()); engine != m_evidence.engines.end())
+        engine->second.to = now();
+    until(drainTime, [this, &standin] { m_world.withdraw(standin); });
+    replaceServer(server);
+}
+
+void soak_run::releaseEngines(const planned_fault& fault)
+{
+    const unsigned version = ++m_newestEngines;
+    const bool isOneLeftOut = fault.variant % 2 == 0;
+    for (std::size_t i = isOneLeftOut ? 1 : 0; i < m_size.servers; ++i) {
+        until(static_cast<int>(i) * releasePause, [this, i, version] {
+            m_engineVersions[i] = version;
+            leave(m_size.servers + i);
+        });
     }
 }
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 20> kinds { {
+constexpr std::array<std::pair<fault_kind, std::string_view>, 21> kinds { {
     { fault_kind::KillNode, "kill_node" },
     { fault_kind::PauseNode, "pause_node" },
     { fault_kind::StopNode, "stop_node" },
@@ -30,10 +30,11 @@
     { fault_kind::ServersBrittle, "servers_brittle" },
     { fault_kind::FleetKilled, "fleet_killed" },
     { fault_kind::ServiceFails, "service_fails" },
+    { fault_kind::EnginesReleased, "engines_released" },
 } };
 
 // The last kinds are drawn apart, so that a seed from before them has the faults that it had.
-constexpr std::size_t drawnKinds = kinds.size() - 5;
+constexpr std::size_t drawnKinds = kinds.size() - 6;
 constexpr std::uint64_t evacuationSalt = 0x9e3779b97f4a7c15;
 constexpr int mostEvacuations = 2;
 constexpr std::uint64_t pathSalt = 0xc2b2ae3d27d4eb4f;
@@ -46,6 +47,8 @@
 constexpr int shortestKillPause = 1200; // ms, from kill to kill: nodes know their fleet after a second
 constexpr int longestKillPause = 3000; // ms
 constexpr int longestDown = 600; // ms, of a killed fleet
+constexpr std::uint64_t releaseSalt = 0x27d4eb2f165667c5;
+constexpr int mostReleases = 2;
 constexpr auto evacuationLead = std::chrono::seconds(5); // until no request may arrive any more
 // One group of faults begins each second or so: with lengths up to four seconds two or three overlap.
 constexpr auto meanPause = std::chrono::milliseconds(900);
@@ -120,6 +123,18 @@
     }
 }
 
+void addReleases(std::vector<planned_fault>& plan, std::uint64_t seed, duration end)
+{
+    std::mt19937_64 random(seed ^ releaseSalt);
+    // Early enough for callers to have streams of both versions.
+    const int latest = static_cast<int>(end.count()) / 2;
+    for (int i = drawBetween(random, 0, mostReleases); i > 0; --i) {
+        planned_fault fault = drawFault(random, duration(drawBetween(random, 0, latest)));
+        fault.kind = fault_kind::EnginesReleased;
+        plan.push_back(fault);
+    }
+}
+
 } // namespace
 
 std::string_view toString(fault_kind kind)
@@ -147,6 +162,7 @@
     addEvacuations(plan, seed, end);
     addLostPaths(plan, seed, end);
     addKilledFleets(plan, seed, end);
+    addReleases(plan, seed, end);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -30,6 +30,7 @@
     ServersBrittle, ///< the plain servers announce that they bear few rejections
     FleetKilled, ///< all nodes, or all but one, as KillNode
     ServiceFails, ///< all backend servers of a service reject or cut what they get
+    EnginesReleased, ///< one engine after another is replaced by one of a new version; some or all
     DataCentreEvacuated, ///< half of the backend servers may get nothing; they are cold at the end
 };
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -49,6 +49,7 @@
     , m_plan(drawPlan(seed, size))
     , m_world(0, [this](unsigned short port) { return routed(port); })
     , m_lives(size.nodes)
+    , m_engineVersions(size.servers, 1)
 {
     m_evidence.wholeStream = platform_standin::eventsUpTo(eventsOfStream);
     m_evidence.nodeFaults.resize(size.nodes);
@@ -141,6 +142,9 @@
     if (!isPress) {
         m_servers.back()->setEvents(eventsOfStream, eventsOfStream / 2);
         m_servers.back()->act(replica_act::Stream);
+        const std::string version = "v" + std::to_string(m_engineVersions[server - m_size.servers]);
+        m_servers.back()->setEventType(version);
+        m_evidence.engines[id] = { version, now() };
     }
     m_evidence.dataCentres[id] = dataCentreOf(server);
     addPath(*m_servers.back());
@@ -150,7 +154,9 @@
 void soak_run::announce(std::size_t server, const std::string& state, duration coldFor)
 {
     const bool isPress = server < m_size.servers;
-    const replica_entry entry { state, dataCentreOf(server), static_cast<unsigned>(coldFor.count()) };
+    replica_entry entry { state, dataCentreOf(server), static_cast<unsigned>(coldFor.count()) };
+    if (!isPress)
+        entry.softwareVersion = m_evidence.engines.at(m_servers[m_serving[server]]->id()).version;
     m_world.announce(*m_servers[m_serving[server]], isPress ? "press" : "engines", entry);
 }
 
@@ -226,6 +232,7 @@
                 call.isMarked = reply.headers.contains("Lycheefront-Response-Signature");
                 call.answeredId = call.isMarked ? reply.headers.at("Lycheefront-Attempt-Id") : "";
                 call.body = reply.body;
+                takeVersions(call);
                 call.endedAt = now();
                 m_evidence.calls.push_back(call);
                 return reply.status == 200 && reply.isWhole;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -61,6 +61,9 @@
     void addPath(const platform_standin::replica_standin& server);
     void evacuate(const std::string& dataCentre, duration lasts);
     void replaceServer(std::size_t server);
+    /// The server drains and leaves, and another one takes its place.
+    void leave(std::size_t server);
+    void releaseEngines(const planned_fault& fault);
     void announce(std::size_t server, const std::string& state, duration coldFor = {});
     void until(duration lasts, std::function<void()> undo);
     void faultOnNode(std::size_t node, duration lasts);
@@ -84,7 +87,9 @@
     std::vector<std::size_t> m_serving; ///< positions in m_servers; press first, then engines
     std::vector<node_life> m_lives;
     std::vector<pending_end> m_ends;
-    unsigned m_version = 1;
+    unsigned m_version = 1; ///< of the configuration
+    std::vector<unsigned> m_engineVersions; ///< of the software, by the engine's place
+    unsigned m_newestEngines = 1; ///< the highest one of these
     std::map<std::string, unsigned> m_evacuations; ///< in force now, by data centre
     unsigned m_keysTaken = 0; ///< faults that keep the second key away now
     soak_evidence m_evidence;
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -42,6 +42,18 @@
     return evidence;
 }
 
+using texts = std::vector<std::string>;
+
+/// A stream at the only node that broke off after events of these versions.
+soak::call_record chatCall(const std::string& id, const texts& versions, const std::string& resumes = {})
+{
+    soak::call_record call { id, call_kind::Chat, 0, false, start + 5s, start + 6s, 200, false, true, id,
+        "" };
+    call.versions = versions;
+    call.resumes = resumes;
+    return call;
+}
+
 std::size_t brokenCount(const soak_evidence& evidence)
 {
     return brokenPromises(evidence, soak_bounds {}).size();
@@ -193,4 +205,41 @@
     BOOST_TEST(brokenCount(evidence) == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(streams_of_two_versions_are_seen)
+{
+    soak_evidence evidence = soundEvidence();
+    for (const std::string stream : { "b", "c", "d" }) {
+        BOOST_TEST(brokenCount(evidence) == 0u);
+        evidence.calls.push_back(chatCall(stream, { "v1" }));
+        evidence.calls.push_back(chatCall(stream + "2", { "v2" }, stream));
+    }
+    BOOST_TEST(brokenCount(evidence) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(streams_that_do_not_go_on_are_seen)
+{
+    soak_evidence evidence = soundEvidence();
+    evidence.dataCentres = { { "engine-1", "a" }, { "engine-2", "b" }, { "engine-3", "b" } };
+    evidence.engines = { { "engine-1", { "v1" } }, { "engine-2", { "v1" } }, { "engine-3", { "v2" } } };
+    for (unsigned i = 0; i < 12; ++i) {
+        const std::string stream = "b" + std::to_string(i);
+        evidence.calls.push_back(chatCall(stream, { "v1" }));
+        BOOST_TEST(brokenCount(evidence) == 0u);
+        evidence.calls.push_back(chatCall(stream + "2", i < 5 ? texts { "v1" } : texts {}, stream));
+    }
+    BOOST_TEST(brokenCount(evidence) == 1u);
+    // A single server of the version is left.
+    evidence.engines["engine-2"].to = start;
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(last_event_is_the_last_whole_one)
+{
+    const std::string body = platform_standin::eventsUpTo(12);
+    BOOST_TEST(soak::lastEvent(body) == 12u);
+    BOOST_TEST(soak::lastEvent(body.substr(0, body.size() - 1)) == 11u);
+    BOOST_TEST(soak::lastEvent("id: 1") == 0u);
+    BOOST_TEST(soak::lastEvent("") == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -46,9 +46,10 @@
 
 } // namespace
 
-std::string eventText(unsigned id)
+std::string eventText(unsigned id, const std::string& type)
 {
-    return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+    const std::string typeLine = type.empty() ? "" : "event: " + type + "\n";
+    return "id: " + std::to_string(id) + "\n" + typeLine + "data: piece " + std::to_string(id) + "\n\n";
 }
 
 std::string eventsUpTo(unsigned last)
@@ -83,6 +84,12 @@
     m_rejectionLimit = perSecond;
 }
 
+void replica_standin::setEventType(std::string type)
+{
+    const std::lock_guard lock(m_mutex);
+    m_eventType = std::move(type);
+}
+
 void replica_standin::setEvents(unsigned events, unsigned cutAt)
 {
     const std::lock_guard lock(m_mutex);
@@ -173,10 +180,12 @@
 {
     unsigned events = 0;
     unsigned cutAt = 0;
+    std::string type;
     {
         const std::lock_guard lock(m_mutex);
         events = m_events;
         cutAt = m_cutAt;
+        type = m_eventType;
     }
     const std::string mark = "Lycheefront-Response-Signature: " + m_id
         + ".1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -186,7 +195,7 @@
     const auto last = request.headers.find("last-event-id");
     const unsigned first = last == request.headers.end() ? 1 : std::stoul(last->second) + 1;
     for (unsigned id = first; id <= events; ++id) {
-        std::string event = eventText(id);
+        std::string event = eventText(id, type);
         if (isCut && id == cutAt) {
             std::string half = chunk(event.substr(0, event.size() / 2));
             co_await standins_common::sendBytes(socket, std::move(half));
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -32,8 +32,8 @@
     Endless, ///< 200 whose body never ends
 };
 
-/// One event of a stream.
-std::string eventText(unsigned id);
+/// One event of a stream, of that type if it has one.
+std::string eventText(unsigned id, const std::string& type = {});
 /// The body of a stream from its first event to that one.
 std::string eventsUpTo(unsigned last);
 
@@ -61,6 +61,8 @@
     /// Says in all answers that it fails if it has to reject more requests in a second; nothing: says
     /// nothing.
     void announceRejectionLimit(std::optional<unsigned> perSecond);
+    /// A text that each event names beside its piece, as its type: the software version that wrote it.
+    void setEventType(std::string type);
     /// Events of a stream, and the one in which StreamCut breaks off.
     void setEvents(unsigned events, unsigned cutAt);
     /// All requests that reached it.
@@ -86,6 +88,7 @@
     replica_act m_act = replica_act::Answer;
     unsigned m_events = 5;
     unsigned m_cutAt = 3;
+    std::string m_eventType;
     std::optional<unsigned> m_rejectionLimit;
     unsigned m_abandoned = 0;
     std::vector<replica_request> m_requests;
