Resumed streams: an avoided server is better than none; test of forwarded streams

A stream is bound to the servers of one version. Where this node avoided all of them, because the last requests there failed or were slow, the caller was refused though the server could have gone on. The new case of tst_streamversions failed before (503) and passes now. A server whose connections fail stays out for its backoff.

--- a/src/libs/decisions/streamorigins.cpp
+++ b/src/libs/decisions/streamorigins.cpp
@@ -75,12 +75,14 @@
     stream_key stream, const std::vector<holder_candidate>& candidates, std::size_t limit)
 {
     std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+    ranked.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i)
         ranked.emplace_back(utils::hash64(candidates[i].address, stream), i);
     std::ranges::sort(ranked);
     // The number of better candidates in the same data centre comes first.
     std::map<std::string_view, std::size_t> better;
     std::vector<std::tuple<std::size_t, std::uint64_t, std::size_t>> ordered;
+    ordered.reserve(candidates.size());
     for (const auto& [hash, index] : ranked)
         ordered.emplace_back(better[candidates[index].dataCentre]++, hash, index);
     const std::size_t count = std::min(limit, ordered.size());
--- a/src/libs/decisions/versionhistory.cpp
+++ b/src/libs/decisions/versionhistory.cpp
@@ -36,15 +36,19 @@
 {
     for (auto& [service, versions] : m_seen) {
         const auto found = present.find(service);
+        const auto recorded = m_record.find(service);
+        const auto isIn = [](const service_versions& all, auto at, const std::string& version) {
+            return at != all.end() && at->second.contains(version);
+        };
         for (auto& [version, seen] : versions) {
-            const bool isPresent = found != present.end() && found->second.contains(version);
+            const bool isPresent = isIn(present, found, version);
             if (seen.isPresent || isPresent)
                 seen.lastAt = now;
             seen.isPresent = isPresent;
         }
         std::erase_if(versions, [&](const auto& entry) {
-            const bool isRecorded = m_record.contains(service) && m_record.at(service).contains(entry.first);
-            return !entry.second.isPresent && !isRecorded && now - entry.second.lastAt > lifetime;
+            return !entry.second.isPresent && now - entry.second.lastAt > lifetime
+                && !isIn(m_record, recorded, entry.first);
         });
     }
     for (const auto& [service, versions] : present) {
@@ -112,7 +116,7 @@
     std::string text;
     for (const auto& [service, versions] : record) {
         for (const std::string& version : versions)
-            text += service + separator + version + '\n';
+            text.append(service).append(1, separator).append(version).append(1, '\n');
     }
     return text;
 }
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -110,6 +110,11 @@
         failures };
 }
 
+bool isWeighted(const decisions::server_candidate& candidate)
+{
+    return candidate.weight > 0;
+}
+
 bool isOfVersion(const catalogue::backend_server& server, decisions::version_key version)
 {
     return decisions::versionKey(server.softwareVersion) == version;
@@ -246,6 +251,15 @@
             : 0;
         candidates.push_back(candidateOf(*server, plan, weight, context.failures.countAt(server->id, now)));
     }
+    // No other server may go on with the stream, so one that is avoided otherwise is better than none.
+    if (constraints.version && std::ranges::none_of(candidates, isWeighted)) {
+        for (decisions::server_candidate& candidate : candidates) {
+            const catalogue::backend_server* server = context.servers.find(candidate.id);
+            if (maySendTo(context, plan, *server, constraints.version, now)
+                && !context.health.isInBackoff(candidate.id, now))
+                candidate.weight = 1;
+        }
+    }
     // If all servers look unresponsive, the fault is most likely on the side of this node.
     const auto isResponsive = [&](const auto& candidate) {
         const bool isSilent = context.isSilent(plan.service, candidate.id, now);
--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 using platform_standin::eventsUpTo;
@@ -24,9 +25,12 @@
 /// Three nodes; the first one reaches the replicas by proxies of its own.
 class cut_testbed : public gateway_testbed {
 public:
-    cut_testbed()
+    /// `retriesPerRequest`: as on the platform's sheets, unless servers have to fail right after the start.
+    explicit cut_testbed(double retriesPerRequest = 0.2)
         : gateway_testbed(replicas)
     {
+        constexpr double extraRetries = 54;
+        setRetryLimits(retriesPerRequest, extraRetries);
         configure(1);
         std::map<std::string, std::string> substitutions;
         for (std::size_t i = 0; i < replicas; ++i) {
@@ -255,6 +259,66 @@
     }
 }
 
+// Guards against streams that go on at another software version by way of a peer, within an answer and over
+// tries.
+BOOST_AUTO_TEST_CASE(forwarded_streams_stay_at_the_version_that_began_them)
+{
+    constexpr double retriesPerRequest = 4;
+    cut_testbed world(retriesPerRequest);
+    constexpr unsigned had = 8; // events
+    constexpr unsigned streams = 12;
+    std::map<std::string, std::string> versions;
+    for (std::size_t i = 0; i < replicas; ++i) {
+        replica_entry entry;
+        entry.softwareVersion = i == 0 ? "v1" : "v2";
+        versions[world.engine(i).id() + ".1"] = entry.softwareVersion;
+        world.announce(world.engine(i), "engines", entry);
+    }
+    for (std::size_t i = 0; i < world.nodeCount(); ++i)
+        BOOST_REQUIRE(waitUntil([&] {
+            return world.node(i).process->log().find("\"versions\":\"v1 v2\"") != std::string::npos;
+        }));
+    // The peer, and within an answer also the entry node, has to go on elsewhere.
+    world.engine(1).setEvents(events, had);
+    world.engine(1).act(platform_standin::replica_act::StreamCutOnce);
+    world.cutOff();
+    std::set<std::string> begunAt;
+    for (unsigned i = 0; i < streams; ++i) {
+        http_question chat = world.question("POST", "/chat/1", std::to_string(i));
+        const std::string begun = chat.headers["Lycheefront-Attempt-Id"];
+        const http_reply first = world.ask(world.node(0), chat);
+        BOOST_REQUIRE(first.status == 200);
+        BOOST_TEST(!first.headers.contains("Forward-Stream-Version"));
+        const std::string version = versions.at(first.headers.at("Lycheefront-Response-Signature"));
+        begunAt.insert(version);
+        chat.headers["Last-Event-Id"] = std::to_string(had);
+        chat.headers["Resumes"] = begun;
+        for (std::size_t at = 0; at < world.nodeCount(); ++at) {
+            chat.headers["Lycheefront-Attempt-Id"] = begun + "-" + std::to_string(at);
+            const http_reply rest = world.ask(world.node(at), chat);
+            BOOST_TEST(rest.status == 200);
+            if (rest.status == 200)
+                BOOST_TEST(versions.at(rest.headers.at("Lycheefront-Response-Signature")) == version);
+        }
+    }
+    BOOST_TEST(begunAt.size() == 2u);
+    // Answers that went on after their first server had broken off.
+    std::map<std::string, std::set<std::string>> ranAt;
+    std::set<std::string> wentOn;
+    for (std::size_t i = 0; i < replicas; ++i) {
+        for (const auto& request : world.engine(i).requests()) {
+            if (request.headers.contains("resumes"))
+                continue;
+            ranAt[request.id].insert(versions.at(world.engine(i).id() + ".1"));
+            if (request.headers.contains("last-event-id"))
+                wentOn.insert(request.id);
+        }
+    }
+    BOOST_TEST(!wentOn.empty());
+    for (const std::string& id : wentOn)
+        BOOST_TEST(ranAt[id].size() == 1u);
+}
+
 // Guards against a configuration that goes back for the callers of a node whose peers have an older one.
 BOOST_FIXTURE_TEST_CASE(peers_with_another_configuration_take_no_request, cut_testbed)
 {
--- a/tests/auto/gateway/tst_streamversions.cpp
+++ b/tests/auto/gateway/tst_streamversions.cpp
@@ -249,6 +249,24 @@
     BOOST_TEST(world.mixedStreams().size() == 0u);
 }
 
+// Guards against a refusal because the only server of the version has failed requests and is avoided
+// otherwise.
+BOOST_AUTO_TEST_CASE(stream_goes_on_at_an_avoided_server_if_there_is_no_other)
+{
+    constexpr unsigned failures = 6; // one more than make a node avoid a server
+    version_testbed world({ "v1", "v2", "v2", "v2", "v2", "v2" });
+    auto stream = world.begin(0);
+    while (stream.version != "v1")
+        stream = world.begin(0);
+    world.engine(0).act(replica_act::Cut);
+    for (unsigned i = 0; i < failures; ++i)
+        BOOST_TEST(world.resume(0, stream.requestId).status != 200);
+    world.engine(0).act(replica_act::Stream);
+    const http_reply reply = world.resume(0, stream.requestId);
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body == restOfStream());
+}
+
 // Guards against streams that are lost although the service has had a single version all along.
 BOOST_AUTO_TEST_CASE(stream_of_the_only_version_goes_on_after_all_nodes_were_killed)
 {
