--- a/src/libs/decisions/originsearch.h
+++ b/src/libs/decisions/originsearch.h
@@ -13,7 +13,7 @@
 
 /// How the software version that began a stream became known.
 enum class origin_source {
-    None, ///< the request takes no stream up
+    None, ///< the request resumes no stream
     OwnNode, ///< this node has forwarded events of the stream
     Peer, ///< a peer has reported it
     ForwardingNode, ///< the node that has forwarded the request says so
@@ -33,7 +33,7 @@
     utils::duration took {}; ///< for asking peers
 };
 
-/// A stream that a caller takes up, at a node.
+/// A stream that a caller resumes, at a node.
 struct origin_query {
     stream_key stream = 0;
     bool isNamed = false; ///< the caller names the request that began the stream
--- a/src/libs/decisions/streamorigins.cpp
+++ b/src/libs/decisions/streamorigins.cpp
@@ -31,10 +31,8 @@
         return;
     known.at = now;
     m_order.push_back({ now, origin.stream });
-    while (m_streams.size() > maxStreams) {
-        dropOldest();
-        ++m_dropped;
-    }
+    while (m_streams.size() > maxStreams)
+        m_dropped += dropOldest() ? 1 : 0;
 }
 
 std::optional<stream_origins::known_origin> stream_origins::find(
@@ -62,13 +60,15 @@
         dropOldest();
 }
 
-void stream_origins::dropOldest()
+bool stream_origins::dropOldest()
 {
     const recorded oldest = m_order.front();
     m_order.pop_front();
     const auto found = m_streams.find(oldest.stream);
-    if (found != m_streams.end() && found->second.at == oldest.at)
-        m_streams.erase(found);
+    if (found == m_streams.end() || found->second.at != oldest.at)
+        return false;
+    m_streams.erase(found);
+    return true;
 }
 
 std::vector<std::size_t> rankHolders(
--- a/src/libs/decisions/streamorigins.h
+++ b/src/libs/decisions/streamorigins.h
@@ -32,7 +32,7 @@
 /// Remembers the software version that began each stream, from this node and from peers.
 ///
 /// Load: backend servers of several software versions serve side by side, and what they write does not fit
-/// together. Connections break and nodes are killed in series, and callers take their streams up at other
+/// together. Connections break and nodes are killed in series, and callers resume their streams at other
 /// nodes, several times. A stream that was reported with two versions counts as unknown. Not thread safe.
 class stream_origins {
 public:
@@ -71,7 +71,8 @@
         utils::time_point at {};
         stream_key stream = 0;
     };
-    void dropOldest();
+    /// Drops the oldest record; returns whether it was the last one of its stream.
+    bool dropOldest();
 
     std::unordered_map<stream_key, entry> m_streams;
     std::deque<recorded> m_order; ///< by time; an older record of a stream stays until it is reached
--- a/src/libs/decisions/versionhistory.h
+++ b/src/libs/decisions/versionhistory.h
@@ -18,7 +18,7 @@
 /// Knows which software versions of a service can have begun the streams that callers still hold.
 ///
 /// Load: a release replaces all backend servers of a service, or the servers of one of several versions leave
-/// without a replacement; then all nodes are killed, and callers take up streams that nobody remembers. That
+/// without a replacement; then all nodes are killed, and callers resume streams that nobody remembers. That
 /// all servers have one version now does not prove that the streams began there. The nodes therefore keep a
 /// record in the store of all versions that were in use within `lifetime`; it is written only when a version
 /// appears or has been gone for that long. While the record and all that this node has observed name a single
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -31,7 +31,7 @@
     std::optional<overload_refusal> refused; ///< because of overload, before anything was sent
     utils::server_id copiedFrom; ///< the engine that the last attempt was told to copy from; empty: none
     stop_reason stopReason = stop_reason::None;
-    /// Of the stream that the caller takes up.
+    /// Of the stream that the caller resumes.
     decisions::found_origin origin { decisions::origin_source::None, 0, {}, {} };
     bound_version streamVersion; ///< of the events that the caller has
     std::uint64_t events = 0;
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -54,7 +54,7 @@
     counter_family& repeats
         = counters("lycheefront_repeats_total", "Attempts sent that were retries at the service");
     counter_family& resumptions = counters("lycheefront_stream_resumptions_total",
-        "Streams taken up by callers, by service, source of the origin and end");
+        "Streams resumed by callers, by service, source of the origin and end");
     counter_family& coldRequests
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
     counter_family& connects = counters(
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -57,7 +57,7 @@
     void countFirstEvent(std::string_view service, utils::duration took);
     /// Counts a finished attempt at a backend server.
     void countAttempt(std::string_view service, attempt_outcome end, bool isRetry);
-    /// Counts a stream that a caller takes up, by how its origin became known and whether it was answered.
+    /// Counts a stream that a caller resumes, by how its origin became known and whether it was answered.
     void countResumption(std::string_view service, std::string_view source, bool isAnswered);
     /// Counts a request that is sent to a cold backend server.
     void countColdRequest(std::string_view service);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -80,7 +80,7 @@
 private:
     using error_code = boost::system::error_code;
 
-    /// Binds the request to the software version that began the stream which the caller takes up.
+    /// Binds the request to the software version that began the stream which the caller resumes.
     boost::asio::awaitable<void> findOrigin()
     {
         if (m_plan.route->kind != catalogue::request_kind::Stream || !m_request.lastEventId)
--- a/src/libs/gateway/streamdirectory.h
+++ b/src/libs/gateway/streamdirectory.h
@@ -20,8 +20,8 @@
 
 namespace gateway {
 
-/// Tells peers which software version began each stream of this node, and finds the version for streams that
-/// callers take up, at any node. While a service has a single version nothing is told. Not thread safe.
+/// Tells peers which software version began each stream of this node, and finds the version of the streams
+/// that callers resume, at any node. While a service has a single version nothing is told. Not thread safe.
 class stream_directory {
 public:
     using send_function = std::function<void(const std::string& address, const std::string& datagram)>;
@@ -34,7 +34,7 @@
     /// Records that the first events of a request's stream, or of the rest of one, are about to be forwarded,
     /// from a server of that version.
     void forwarded(const request_plan& plan, const client_request& request, decisions::version_key version);
-    /// Finds the version that began the stream that the caller takes up. Asks peers where this node does not
+    /// Finds the version that began the stream that the caller resumes. Asks peers where this node does not
     /// know it; takes at most `questionTimeout`.
     boost::asio::awaitable<decisions::found_origin> find(
         const request_plan& plan, const client_request& request);
--- a/tests/auto/catalogue/tst_serverdirectory.cpp
+++ b/tests/auto/catalogue/tst_serverdirectory.cpp
@@ -130,4 +130,36 @@
     BOOST_TEST((directory.coldUntil(server_id("b"), 3s) <= at(0s)));
 }
 
+// Guards against requests to a server that has drained for an unknown time.
+BOOST_FIXTURE_TEST_CASE(drain_time_is_known_only_for_servers_seen_before, directory_fixture)
+{
+    BOOST_TEST(!directory.drainingFor(a, at(1s)).has_value());
+    backend_server draining = serverOf("a", 2);
+    draining.isDraining = true;
+    directory.put(a, draining, at(1s));
+    BOOST_TEST((directory.drainingFor(a, at(3s)).value() == 2s));
+    directory.put(a, draining, at(4s));
+    BOOST_TEST((directory.drainingFor(a, at(5s)).value() == 4s));
+    backend_server restarted = serverOf("a", 3, 2);
+    restarted.isDraining = true;
+    directory.put(a, serverOf("a", 3), at(6s));
+    directory.put(a, restarted, at(6s));
+    BOOST_TEST(!directory.drainingFor(a, at(7s)).has_value());
+    const server_id b("b");
+    draining.id = b;
+    directory.put(b, draining, at(1s));
+    BOOST_TEST(!directory.drainingFor(b, at(2s)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(software_versions_are_those_of_all_entries, directory_fixture)
+{
+    backend_server draining = serverOf("b");
+    draining.softwareVersion = "v2";
+    draining.isDraining = true;
+    directory.put(draining.id, draining, at(0s));
+    BOOST_TEST(directory.softwareVersions().at("s").size() == 2u);
+    directory.remove(draining.id, at(1s));
+    BOOST_TEST(directory.softwareVersions().at("s").size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
