Stand-in proxies that reopen their port listen at an address of their own

A proxy that closes its listener (a path closed to new connections, or lost) opens the same port again later; at 127.0.0.1 an outgoing connection may have taken it meanwhile. Paths of cut nodes, in the soak and in tst_cutoffnodes, now listen at a loopback address at which no outgoing connection begins. No check changed.

--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -2,6 +2,7 @@
 #include "rawcaller.h"
 
 #include "platformstandin/faultproxy.h"
+#include "processtools/freeport.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,6 +22,7 @@
 constexpr std::size_t replicas = 3; ///< of each service
 constexpr unsigned events = 20; ///< of a stream
 constexpr unsigned rounds = 12;
+constexpr std::size_t pathAddress = 240; ///< index of the proxies' address, behind those of the nodes
 
 /// Three nodes; the first one reaches the replicas by proxies of its own.
 class cut_testbed : public gateway_testbed {
@@ -117,7 +119,8 @@
 private:
     void addProxy(const platform_standin::replica_standin& replica, std::map<std::string, std::string>& texts)
     {
-        m_proxies.push_back(std::make_unique<fault_proxy>(m_proxyThread, replica.port()));
+        m_proxies.push_back(
+            std::make_unique<fault_proxy>(m_proxyThread, replica.port(), nodeAddress(pathAddress)));
         texts[replica.address()] = m_proxies.back()->address();
     }
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -1,5 +1,6 @@
 #include "soakrun.h"
 
+#include "processtools/freeport.h"
 #include "processtools/waituntil.h"
 
 #include <array>
@@ -19,6 +20,7 @@
 constexpr unsigned eventsOfStream = 30; // of 2 ms
 
 constexpr std::size_t cutNode = 0; // the first to start
+constexpr std::size_t pathAddress = 240; // index of the address of its paths, behind those of all nodes
 
 using path_texts = std::map<std::string, std::string>;
 
@@ -128,7 +130,8 @@
 void soak_run::addPath(const replica_standin& server)
 {
     const unsigned short port = routed(server.port());
-    m_paths["127.0.0.1:" + std::to_string(port)] = std::make_unique<fault_proxy>(m_proxyThread, port);
+    m_paths["127.0.0.1:" + std::to_string(port)]
+        = std::make_unique<fault_proxy>(m_proxyThread, port, nodeAddress(pathAddress));
     if (m_world.nodeCount() > cutNode)
         m_world.store().setSubstitutions(m_world.node(cutNode).storePort, pathTexts(m_paths));
 }
--- a/tests/standins/platform/faultproxy.cpp
+++ b/tests/standins/platform/faultproxy.cpp
@@ -25,12 +25,12 @@
 
 } // namespace
 
-fault_proxy::fault_proxy(standin_thread& thread, unsigned short target)
+fault_proxy::fault_proxy(standin_thread& thread, unsigned short target, const std::string& host)
     : m_thread(thread)
     , m_target(target)
+    , m_host(asio::ip::make_address(host))
 {
-    const auto acceptor
-        = std::make_shared<tcp::acceptor>(m_thread.io(), tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const auto acceptor = std::make_shared<tcp::acceptor>(m_thread.io(), tcp::endpoint(m_host, 0));
     m_port = acceptor->local_endpoint().port();
     m_acceptor = acceptor;
     asio::co_spawn(m_thread.io(), acceptAll(acceptor), asio::detached);
@@ -62,7 +62,7 @@
     m_acceptor = std::make_shared<tcp::acceptor>(m_thread.io());
     m_acceptor->open(tcp::v4());
     m_acceptor->set_option(asio::socket_base::reuse_address(true));
-    m_acceptor->bind({ asio::ip::address_v4::loopback(), m_port });
+    m_acceptor->bind({ m_host, m_port });
     if (state == link_state::Lost)
         return blockListener();
     m_acceptor->listen();
@@ -75,8 +75,7 @@
     m_fillers.reserve(fillers);
     for (std::size_t i = 0; i < fillers; ++i) {
         m_fillers.emplace_back(m_thread.io());
-        m_fillers.back().async_connect(
-            { asio::ip::address_v4::loopback(), m_port }, [](const boost::system::error_code&) {});
+        m_fillers.back().async_connect({ m_host, m_port }, [](const boost::system::error_code&) {});
     }
 }
 
--- a/tests/standins/platform/faultproxy.h
+++ b/tests/standins/platform/faultproxy.h
@@ -29,11 +29,13 @@
 /// or silent is never whole again, as behind a partition. Thread safe.
 class fault_proxy {
 public:
-    fault_proxy(standin_thread& thread, unsigned short target);
+    /// `host`: the loopback address to listen on. A proxy that closes and opens its port again needs one that
+    /// no outgoing connection takes its port at, see nodeAddress().
+    fault_proxy(standin_thread& thread, unsigned short target, const std::string& host = "127.0.0.1");
 
     unsigned short port() const { return m_port; }
     /// The address that callers connect to, "ip:port".
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    std::string address() const { return m_host.to_string() + ':' + std::to_string(m_port); }
     void set(link_state state);
 
 private:
@@ -62,6 +64,7 @@
 
     standin_thread& m_thread;
     unsigned short m_target;
+    boost::asio::ip::address m_host;
     unsigned short m_port = 0;
     std::atomic<link_state> m_state { link_state::Open };
     std::set<std::shared_ptr<link>> m_links; ///< of the proxy's thread
