--- a/tests/auto/gateway/tst_streamversions.cpp
+++ b/tests/auto/gateway/tst_streamversions.cpp
@@ -48,6 +48,16 @@
         entry.softwareVersion = version;
         announce(engine(index), "engines", entry);
     }
+    /// Kills all nodes at once, and waits until they are ready again.
+    void killAll()
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+            node(i).process->kill();
+        for (std::size_t i = 0; i < nodes; ++i)
+            restartNode(node(i));
+        for (std::size_t i = 0; i < nodes; ++i)
+            awaitReady(node(i));
+    }
     /// Waits until all nodes hear each other.
     void awaitPeers()
     {
@@ -272,12 +282,7 @@
 {
     version_testbed world({ "v1" });
     const auto stream = world.begin(0);
-    for (std::size_t i = 0; i < nodes; ++i)
-        world.node(i).process->kill();
-    for (std::size_t i = 0; i < nodes; ++i)
-        world.restartNode(world.node(i));
-    for (std::size_t i = 0; i < nodes; ++i)
-        world.awaitReady(world.node(i));
+    world.killAll();
     for (std::size_t i = 0; i < nodes; ++i) {
         const http_reply reply = world.resume(i, stream.requestId);
         BOOST_TEST(reply.status == 200);
@@ -293,12 +298,7 @@
     BOOST_REQUIRE(waitUntil([&] { return world.store().value("software-versions").has_value(); }));
     for (std::size_t i = 0; i < engines / 2; ++i)
         world.withdraw(world.engine(i));
-    for (std::size_t i = 0; i < nodes; ++i)
-        world.node(i).process->kill();
-    for (std::size_t i = 0; i < nodes; ++i)
-        world.restartNode(world.node(i));
-    for (std::size_t i = 0; i < nodes; ++i)
-        world.awaitReady(world.node(i));
+    world.killAll();
     for (std::size_t i = 0; i < nodes; ++i)
         BOOST_TEST(world.resume(i, stream.requestId).status == 503);
     BOOST_TEST(world.mixedStreams().size() == 0u);
