Logs name the shared parts of prompts

Cause: the lines of a request named the last shared part only, those of an attempt none, so that the attempts that were cut at a crash could not be compared by what they share. Change: shared_parts (the first eight, ids as callers write them) in attempt_failed, request_done and request_refused; it replaces shared_part.

--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -248,6 +248,7 @@
         failed_attempt attempt { m_result.server, m_result.serverVersion, m_result.forwardedTo,
             m_result.lastOutcome, std::exchange(m_connectError, {}) };
         attempt.events = m_relay.eventCount();
+        attempt.sharedParts = m_plan.sharedParts();
         attempt.took = now() - startedAt;
         if (m_record.isSent(m_result.lastOutcome))
             attempt.silentFor = m_tracker.silentFor(now());
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -4,6 +4,9 @@
 
 #include "utils/eventlog.h"
 
+#include <algorithm>
+#include <sstream>
+
 namespace gateway {
 
 namespace {
@@ -13,6 +16,16 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+/// The parts as "id:tokens", ids in hexadecimal as callers write them; at most the first `maxLoggedParts`.
+std::string partsText(std::span<const decisions::prompt_part> parts)
+{
+    constexpr std::size_t maxLoggedParts = 8;
+    std::ostringstream text;
+    for (const decisions::prompt_part& part : parts.first(std::min(parts.size(), maxLoggedParts)))
+        text << (text.tellp() > 0 ? "," : "") << std::hex << part.id << ':' << std::dec << part.tokens;
+    return text.str();
+}
+
 } // namespace
 
 void logRequest(const node_context& context, const client_request& request, const request_plan& plan,
@@ -65,10 +78,8 @@
         fields.push_back({ "forwarded", "yes" });
     if (!result.forwardedTo.empty())
         fields.push_back({ "forwarded_to", result.forwardedTo });
-    if (plan.parts.size() > 1) {
-        const decisions::prompt_part& part = plan.parts[plan.parts.size() - 2];
-        fields.push_back({ "shared_part", std::to_string(part.id) + ':' + std::to_string(part.tokens) });
-    }
+    if (!plan.sharedParts().empty())
+        fields.push_back({ "shared_parts", partsText(plan.sharedParts()) });
     if (result.events > 0) {
         fields.push_back({ "events", std::to_string(result.events) });
         fields.push_back({ "first_ms", millisecondsText(result.timeToFirstEvent) });
@@ -108,6 +119,8 @@
         { "view_behind_ms", millisecondsText(attempt.viewBehind) } };
     if (!attempt.serverVersion.empty())
         fields.push_back({ "server_version", attempt.serverVersion });
+    if (!attempt.sharedParts.empty())
+        fields.push_back({ "shared_parts", partsText(attempt.sharedParts) });
     if (!attempt.connectError.empty())
         fields.push_back({ "connect", attempt.connectError });
     utils::logEvent(utils::event::AttemptFailed, fields);
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -6,6 +6,8 @@
 
 #include "utils/errorkind.h"
 
+#include <span>
+
 namespace gateway {
 
 struct flow_result;
@@ -18,6 +20,7 @@
     attempt_outcome outcome = attempt_outcome::NotSent;
     std::string connectError; ///< why no connection was opened; empty if one was
     std::uint64_t events = 0; ///< forwarded to the caller so far
+    std::span<const decisions::prompt_part> sharedParts {}; ///< of the prompt
     utils::duration took {};
     utils::duration silentFor {}; ///< since data of the response arrived, or since the request was sent
     bool isRetry = false; ///< it was a retry at the service, if it was sent
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace gateway {
@@ -24,10 +25,16 @@
     std::optional<std::set<std::string>> regions; ///< where it may run; nothing: anywhere
     int urgency = 0; ///< 0 is the most urgent, see configuration::urgencyOf
     decisions::body_digest digest; ///< identifies the request among those that crashed a server
-    std::vector<decisions::prompt_part> parts; ///< shared parts of the prompt
+    std::vector<decisions::prompt_part> parts; ///< of the prompt; the last one is the request's own
     std::uint32_t promptTokens = 0;
     utils::time_point deadline {}; ///< of this node: the earlier of the timeouts of the route and the caller
     utils::time_point callerDeadline {};
+
+    /// The parts of the prompt that other requests may have, too.
+    std::span<const decisions::prompt_part> sharedParts() const
+    {
+        return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1);
+    }
 };
 
 /// Looks up route, API key and service. Fails with UnknownRoute, UnknownTeam, NodeNotCurrent, ShuttingDown or
