Tests of prompts that crash servers, and of streams that end with their connection, red

Stand-ins: a listener that can go away with its connections and come back; streams without length or chunks.

--- a/tests/auto/gateway/tst_gatewayrequests.cpp
+++ b/tests/auto/gateway/tst_gatewayrequests.cpp
@@ -188,6 +188,40 @@
     BOOST_TEST(reply.body.starts_with("press-"));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_stream_that_ends_with_its_connection_is_complete, ready_testbed)
+{
+    engine(0).act(replica_act::StreamUnframed);
+    engine(1).act(replica_act::StreamUnframed);
+    for (const std::string path : { "/chat/1", "/draft/1" }) {
+        const http_reply reply = ask(node(0), question("POST", path, "hi"));
+        BOOST_TEST(reply.status == 200);
+        BOOST_TEST(reply.isWhole);
+        BOOST_TEST(reply.body == eventsUpTo(5));
+    }
+}
+
+// Guards against a stream without length that ends inside an event and looks complete.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_ends_inside_an_event_is_broken_off, ready_testbed)
+{
+    engine(0).act(replica_act::StreamUnframedCut);
+    engine(1).act(replica_act::StreamUnframedCut);
+    const http_reply reply = ask(node(0), question("POST", "/draft/1", "hi"));
+    BOOST_TEST(!reply.isWhole);
+    BOOST_TEST(!reply.contains("piece 3"));
+}
+
+// Guards against a connection that ends right behind the head and passes for a whole stream without events.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_ends_before_its_first_event_is_no_answer, ready_testbed)
+{
+    engine(0).act(replica_act::HeadOnly);
+    engine(1).act(replica_act::HeadOnly);
+    BOOST_TEST(ask(node(0), question("POST", "/draft/1", "hi")).status == 502);
+    engine(1).act(replica_act::Stream);
+    const http_reply reply = ask(node(0), question("POST", "/chat/1", "hi"));
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body == eventsUpTo(5));
+}
+
 // An engine fails in the middle of the third event. The partial event must not reach the caller, and the
 // other engine resumes after the second event: five events, each once, in one complete response.
 BOOST_FIXTURE_TEST_CASE(a_stream_resumes_on_another_engine_without_gap_or_repeat, ready_testbed)
--- a/tests/standins/common/httplistener.h
+++ b/tests/standins/common/httplistener.h
@@ -7,6 +7,8 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
+#include <memory>
+#include <set>
 #include <string>
 
 namespace standins_common {
@@ -18,7 +20,35 @@
 /// Answers one request on the socket; false closes the connection.
 using http_handler = std::function<boost::asio::awaitable<bool>(http_request&, tcp_socket&)>;
 
-/// Listens on 127.0.0.1 and serves each connection until it closes. Port 0 picks one.
+/// A listener on 127.0.0.1 that can go away with all its connections, as a process does that ends, and come
+/// back. Not thread safe; the handler runs on the context's thread.
+class http_listener : public std::enable_shared_from_this<http_listener> {
+public:
+    /// Precondition: the context outlives this object.
+    http_listener(boost::asio::io_context& context, http_handler handler)
+        : m_context(context)
+        , m_handler(std::move(handler))
+        , m_acceptor(context)
+    {
+    }
+
+    /// Listens and serves each connection until it closes. Port 0 picks one. Returns the port. Throws
+    /// boost::system::system_error.
+    unsigned short open(unsigned short port);
+    /// Stops listening and closes all connections.
+    void close();
+
+private:
+    boost::asio::awaitable<void> acceptAll();
+    boost::asio::awaitable<void> serve(std::shared_ptr<tcp_socket> socket);
+
+    boost::asio::io_context& m_context;
+    http_handler m_handler;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<tcp_socket>> m_sockets;
+};
+
+/// Listens on 127.0.0.1 until the context ends. Port 0 picks one.
 /// Returns the port. Not thread safe; the handler runs on the context's thread.
 unsigned short listenHttp(boost::asio::io_context& context, unsigned short port, http_handler handler);
 
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,9 @@
     Unsigned, ///< 200 without the mark of a replica
     ExtraAnswer, ///< first the answer to another request, then its own
     Unframed, ///< 200 whose body ends with the connection
+    StreamUnframed, ///< a stream without length or chunks that ends with the connection
+    StreamUnframedCut, ///< the same, but it ends in the middle of event `cutAt`
+    HeadOnly, ///< 200 without length or chunks, and the connection ends before the body
     Endless, ///< 200 whose body never ends
 };
 
@@ -65,6 +70,18 @@
     void setEventType(std::string type);
     /// Events of a stream, and the one in which StreamCut breaks off.
     void setEvents(unsigned events, unsigned cutAt);
+    /// How a replica answers a request that crashes it.
+    enum class crash_answer {
+        None,
+        Head ///< a head of 200 without length or chunks
+    };
+    /// From now on, each request with one of these parts in its prompt, as the first or a middle one, crashes
+    /// the replica as its answer begins: it ends with all connections, and is back after a while.
+    void crashOn(std::set<std::string> parts, crash_answer answer = crash_answer::None);
+    /// Ends with all connections as in a crash, and is back after a while.
+    void crash();
+    /// How often it has crashed.
+    unsigned crashes() const;
     /// All requests that reached it.
     std::vector<replica_request> requests() const;
     std::size_t requestCount() const { return requests().size(); }
@@ -80,9 +97,17 @@
     boost::asio::awaitable<bool> sendForever(
         standins_common::tcp_socket& socket, const replica_request& request);
     boost::asio::awaitable<bool> hang(standins_common::tcp_socket& socket);
+    boost::asio::awaitable<bool> streamUnframed(
+        standins_common::tcp_socket& socket, const replica_request& request, bool isCut);
+    /// Whether the prompt has one of the crashing parts before its last one.
+    bool isCrashing(const replica_request& request) const;
+    crash_answer crashAnswer() const;
+    void restart();
+    boost::asio::awaitable<void> comeBack();
 
     standin_thread& m_thread;
     std::string m_id;
+    std::shared_ptr<standins_common::http_listener> m_listener;
     unsigned short m_port = 0;
     mutable std::mutex m_mutex;
     replica_act m_act = replica_act::Answer;
@@ -91,6 +116,9 @@
     std::string m_eventType;
     std::optional<unsigned> m_rejectionLimit;
     unsigned m_abandoned = 0;
+    std::set<std::string> m_crashingParts;
+    crash_answer m_crashAnswer = crash_answer::None;
+    unsigned m_crashes = 0;
     std::vector<replica_request> m_requests;
 };
 
