--- /dev/null
+++ b/src/libs/decisions/crashingparts.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "prefixindex.h"
+
+#include "utils/time.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace decisions {
+
+/// Identifies the crash of a server: the same on all nodes.
+using crash_key = std::uint32_t;
+
+/// Thread safe.
+crash_key crashKey(std::string_view server, std::uint64_t startedAtMs);
+/// Identifies a service in a part_strike. Thread safe.
+std::uint32_t serviceKey(std::string_view service);
+
+/// A crash of a server that was about to answer a request with that part in its prompt. Sent to peers.
+struct part_strike {
+    std::uint64_t part = 0;
+    crash_key crash = 0;
+    std::uint32_t service = 0;
+    /// Length of the chain of crashes that ends with this one: each was known where the request of the next
+    /// one was sent, and no answer with the part had begun in between.
+    std::uint8_t level = 1;
+    bool isCleared = false; ///< an answer with the part began after the crash
+    std::uint32_t ageMs = 0; ///< when sent
+
+    template <class Archive> void serialize(Archive& archive)
+    {
+        archive(part, crash, service, level, isCleared, ageMs);
+    }
+};
+
+/// What is known of the parts of a prompt.
+enum class part_verdict : std::uint8_t {
+    Sound,
+    Suspect, ///< crashes followed each other: a few requests at a time, on one server
+    OnTrial, ///< refused for its term; one node sends a single request to find out whether it still crashes
+    Crashing, ///< refused
+    Count_
+};
+
+/// Name for logs. Thread safe.
+std::string_view toString(part_verdict verdict);
+
+/// The verdict on a prompt, and the part that decided it.
+struct part_finding {
+    part_verdict verdict = part_verdict::Sound;
+    std::uint64_t part = 0;
+    unsigned level = 0; ///< of the part, see part_strike::level
+    utils::duration age {}; ///< since the last crash was recorded here
+    utils::duration termOverFor {}; ///< OnTrial: time since the end of the term
+    bool isOwn = false; ///< this node saw the last crash itself
+};
+
+/// Settings of crashing_parts.
+struct crashing_part_limits {
+    unsigned suspectLevel = 2; ///< from this level on a part is suspect
+    unsigned crashingLevel = 3; ///< from this level on a part is refused
+    /// The same for a part with which an answer began on this node within `memory`.
+    unsigned crashingLevelOfKnown = 5;
+    utils::duration memory = std::chrono::seconds(60);
+    /// Time for which a part is refused before it is tried again; longer by `termGrowth` with each level.
+    utils::duration firstTerm = std::chrono::seconds(20);
+    unsigned termGrowth = 8;
+    utils::duration lifetime = std::chrono::minutes(10); ///< of a strike, after its term
+    std::size_t maxStrikes = 4096; ///< 80 bytes each; the lowest level, then the oldest are dropped first
+    std::size_t maxAnswered = 4096; ///< parts that answers began with; further ones are not remembered
+};
+
+/// Finds the parts of prompts that crash the servers which begin to answer them, fleet-wide.
+///
+/// Load: each request with a certain part crashes its server, whatever else it holds, and no two of these
+/// requests are alike. Other requests share all their other parts, and are under way at each crash.
+/// A crash counts against every shared part of each request that had no answer yet. It counts for nothing
+/// once an answer with the part begins, on any node: parts in use clear themselves within moments. What
+/// convicts is a chain of crashes, each of a request that was sent after the crash before was known; so many
+/// servers that fail at once make one link only. From the second link on the part is suspect: its requests go
+/// to one server, the same for all nodes, one at a time from each node. Not thread safe.
+class crashing_parts {
+public:
+    explicit crashing_parts(const crashing_part_limits& limits = {})
+        : m_limits(limits)
+    {
+    }
+
+    /// Records a crash with a request under way that had no answer yet. `parts`: its shared parts.
+    /// Returns the highest level among them.
+    unsigned crashed(std::uint32_t service, std::span<const prompt_part> parts, crash_key crash,
+        utils::time_point sentAt, utils::time_point now);
+    /// Records that an answer with these shared parts began at `beganAt`, and that its server lives on.
+    /// Returns the highest level of what was cleared; 0: nothing.
+    unsigned answered(std::uint32_t service, std::span<const prompt_part> parts, utils::time_point beganAt,
+        utils::time_point now);
+    /// Returns the worst finding on these shared parts.
+    part_finding check(std::span<const prompt_part> parts, utils::time_point now) const;
+
+    /// Returns the strikes that peers have not been sent often enough, the highest level first.
+    std::vector<part_strike> takeNews(std::size_t limit, utils::time_point now);
+    /// Returns the strikes that make parts suspect or refused, for a peer that has just started.
+    std::vector<part_strike> standing(std::size_t limit, utils::time_point now) const;
+    /// Takes strikes from a peer.
+    void merge(std::span<const part_strike> strikes, utils::time_point now);
+    /// Drops what has expired, and marks convictions to be sent again. Call it periodically.
+    void expire(utils::time_point now);
+
+    /// Takes the record in the store, at that revision of the store; nothing if it was removed. Older ones
+    /// are ignored.
+    void applyRecord(const std::optional<std::string>& record, std::uint64_t revision, utils::time_point now);
+    /// Returns the text of the record that the store should hold; nothing if it holds that. It lists the
+    /// parts that are refused.
+    std::optional<std::string> missingRecord(utils::time_point now) const;
+    /// Revision of the store at the last change of the record that was taken; 0: there was none.
+    std::uint64_t recordRevision() const { return m_revision; }
+    /// Whether there is a record.
+    bool hasRecord() const { return m_hasRecord; }
+
+    std::size_t size() const { return m_strikes.size(); }
+    /// Number of parts that are refused.
+    std::size_t refused(utils::time_point now) const;
+
+private:
+    struct strike_key {
+        std::uint64_t part = 0;
+        crash_key crash = 0;
+        std::uint8_t level = 1;
+        auto operator<=>(const strike_key&) const = default;
+    };
+    struct strike_state {
+        std::uint32_t service = 0;
+        utils::time_point at {}; ///< of the crash, as far as known here
+        utils::time_point learnedAt {};
+        bool isCleared = false;
+        bool isOwn = false;
+        unsigned sendsLeft = 0;
+    };
+    using strike_map = std::map<strike_key, strike_state>;
+
+    strike_map::const_iterator firstOf(std::uint64_t part) const
+    {
+        return m_strikes.lower_bound({ part, 0, 0 });
+    }
+    /// A caller that lists thousands of parts must not cost more than any other.
+    static std::span<const prompt_part> considered(std::span<const prompt_part> parts)
+    {
+        constexpr std::size_t maxParts = 32;
+        return parts.first(std::min(parts.size(), maxParts));
+    }
+    /// Highest level of the part's strikes that were learned until `until`.
+    unsigned levelOf(std::uint64_t part, utils::time_point until) const;
+    part_finding findingOn(std::uint64_t part, utils::time_point now) const;
+    bool isKnown(std::uint64_t part, std::uint32_t service, utils::time_point now) const;
+    utils::duration termOf(unsigned level) const;
+    utils::time_point expiryOf(const strike_key& key, const strike_state& strike) const;
+    part_strike toMessage(const strike_key& key, const strike_state& strike, utils::time_point now) const;
+    void dropLeast();
+    std::map<std::uint64_t, unsigned> recordedParts(utils::time_point now) const;
+
+    // A datagram may be lost, and in a large fleet reaches a few peers only.
+    static constexpr unsigned newsRepeats = 3;
+    static constexpr utils::duration convictionRepeatInterval = std::chrono::seconds(1);
+    static constexpr unsigned maxLevel = 8;
+    // Of strikes from the record, which names neither.
+    static constexpr std::uint32_t anyService = 0;
+    static constexpr crash_key recordedCrash = 0;
+
+    crashing_part_limits m_limits;
+    strike_map m_strikes;
+    /// Last answer that began with a part at a service, by the hash of both.
+    std::map<std::uint64_t, utils::time_point> m_answered;
+    utils::time_point m_repeatedAt {};
+    std::map<std::uint64_t, unsigned> m_record; ///< level by part, as in the store
+    std::uint64_t m_revision = 0;
+    bool m_hasRecord = false;
+};
+
+} // namespace decisions
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -1,6 +1,9 @@
 #include "attempttracker.h"
 
+#include "requestlog.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace gateway {
 
@@ -33,7 +36,7 @@
     m_candidate = { m_server, server.dataCentre, server.slots, 1, m_plan.cacheTokens, server.startedAtMs, 0 };
     m_isUnexpected = placement.isUnexpected;
     m_context.choice.recordSent(m_candidate, m_plan.parts, m_isUnexpected);
-    m_context.runningRequests[m_number] = { m_server, server.startedAtMs, m_plan.digest };
+    m_isSound = false;
     m_context.silence.requestSent(
         m_server, m_number, m_serverSilence, times.forecast(unreadTokens).latest(), now);
 }
@@ -41,8 +44,11 @@
 void attempt_tracker::dataReceived(utils::time_point now)
 {
     m_lastReceivedAt = now;
-    if (m_isActive)
-        m_context.silence.dataReceived(m_server, now);
+    if (!m_isActive)
+        return;
+    m_context.silence.dataReceived(m_server, now);
+    if (m_firstEventAt != utils::time_point() && now - m_firstEventAt >= soundAfter)
+        recordSound(m_firstEventAt, now);
 }
 
 void attempt_tracker::prefillDone()
@@ -78,9 +84,6 @@
         m_context.reachability.suspected(m_plan.service, m_server);
     // The loss of this node's own path is no failure of the server.
     const bool isServerAtFault = !m_context.reachability.isCutOff(m_plan.service);
-    if (outcome == attempt_outcome::Cut && isServerAtFault)
-        recordCrash(m_context, m_server, now);
-    m_context.runningRequests.erase(m_number);
     const bool isFailure = isServerAtFault
         && (outcome == attempt_outcome::Cut || outcome == attempt_outcome::Silent
             || outcome == attempt_outcome::Garbled || outcome == attempt_outcome::Failed);
@@ -91,13 +94,33 @@
             m_plan.route->name, m_server, isFailure || status >= firstServerErrorStatus, now);
     if (outcome != attempt_outcome::Answered)
         return;
-    m_context.poison.completed(m_plan.digest, now);
     const bool isShort = m_plan.route->kind != catalogue::request_kind::Stream;
+    const bool hasAnswer = isShort || m_firstEventAt != utils::time_point();
+    if (hasAnswer && status < firstServerErrorStatus) {
+        m_context.poison.completed(m_plan.digest, now);
+        recordSound(isShort ? now : m_firstEventAt, now);
+    }
     if (isShort && status < firstServerErrorStatus)
         m_context.health.succeeded(m_plan.service, m_server, now - m_sentAt, now);
     learnOccupancy(isShort, now);
 }
 
+void attempt_tracker::recordSound(utils::time_point beganAt, utils::time_point now)
+{
+    if (std::exchange(m_isSound, true) || m_plan.sharedParts().empty())
+        return;
+    const unsigned level = m_context.crashingParts.answered(
+        decisions::serviceKey(m_plan.service), m_plan.sharedParts(), beganAt, now);
+    if (level > 1)
+        logPartsCleared(m_plan, m_server, level);
+}
+
+lost_attempt attempt_tracker::lost(utils::time_point now) const
+{
+    const bool hasAnswer = m_firstEventAt != utils::time_point() && now - m_firstEventAt >= soundAfter;
+    return { m_server, m_candidate.startedAtMs, m_sentAt, hasAnswer };
+}
+
 void attempt_tracker::learnOccupancy(bool isShort, utils::time_point now)
 {
     decisions::response_times& times = m_context.responseTimesOf(m_plan.service);
--- a/src/libs/gateway/attempttracker.h
+++ b/src/libs/gateway/attempttracker.h
@@ -5,8 +5,16 @@
 
 namespace gateway {
 
-/// Accounts for the attempts of one request on backend servers: server loads, timeouts, server health, crash
-/// suspects and prompt placements. Each attempt runs from begin() to end(). Without begin(), as for an
+/// An attempt that was sent and ended without its answer.
+struct lost_attempt {
+    utils::server_id server;
+    std::uint64_t serverStartedAtMs = 0;
+    utils::time_point sentAt {};
+    bool hasAnswer = false; ///< an answer had begun, long enough before for its server to survive that
+};
+
+/// Accounts for the attempts of one request on backend servers: server loads, timeouts, server health, sound
+/// prompts and prompt placements. Each attempt runs from begin() to end(). Without begin(), as for an
 /// attempt by way of a peer, nothing is recorded. Not thread safe.
 class attempt_tracker {
 public:
@@ -38,10 +46,15 @@
     /// the server sends nothing on any request for as long as makes it suspect.
     utils::time_point timeoutAt(utils::duration limit, utils::time_point now) const;
 
+    /// The last attempt, as it stands at `now`.
+    lost_attempt lost(utils::time_point now) const;
+
     /// Returns the time since data of the response arrived, or since the request was sent; zero before that.
     utils::duration silentFor(utils::time_point now) const;
 
 private:
+    /// Records that servers survive answers to prompts with these parts.
+    void recordSound(utils::time_point beganAt, utils::time_point now);
     /// Learns from a complete response how long requests of its kind occupy a slot.
     void learnOccupancy(bool isShort, utils::time_point now);
 
@@ -56,7 +69,11 @@
     std::uint32_t m_unreadTokens = 0; ///< prompt tokens to prefill, as estimated on sending
     std::uint32_t m_tokensAhead = 0; ///< prefilled by the server before the response, this prompt included
     utils::duration m_latestResponse {}; ///< longest expected wait for the response; zero once it began
+    // A server that crashes as it begins to answer has ended by then.
+    static constexpr utils::duration soundAfter = std::chrono::milliseconds(100);
+
     bool m_isActive = false; ///< between begin() and end()
+    bool m_isSound = false; ///< recordSound() was called
     bool m_hasSlot = false; ///< the server had a free slot when the request was sent
     bool m_isPromptPending = false;
     std::uint32_t m_heldTokens = 0; ///< prompt tokens expected in the KV cache of the server before sending
--- a/src/libs/gateway/clientsession.h
+++ b/src/libs/gateway/clientsession.h
@@ -17,12 +17,11 @@
 class client_session : public std::enable_shared_from_this<client_session<Wire>> {
 public:
     /// `receiver`: this process's boot id if the connection comes from a peer that forwards requests, else 0.
-    /// Precondition: context, forwarder and streams outlive the session.
-    client_session(node_context& context, peer_forwarder& forwarder, stream_directory& streams,
-        boost::asio::ip::tcp::socket socket, std::uint64_t receiver)
+    /// Precondition: the context and the services outlive the session.
+    client_session(node_context& context, const flow_services& services, boost::asio::ip::tcp::socket socket,
+        std::uint64_t receiver)
         : m_context(context)
-        , m_forwarder(forwarder)
-        , m_streams(streams)
+        , m_services(services)
         , m_receiver(receiver)
         , m_connection(std::make_shared<caller_connection>(std::move(socket)))
     {
@@ -129,7 +128,7 @@
             if (writer.isStream())
                 connection->abort();
         });
-        request_flow<Wire> flow(m_context, m_forwarder, m_streams, request, plan, scope, writer);
+        request_flow<Wire> flow(m_context, m_services, request, plan, scope, writer);
         flow_result result = co_await flow.run();
         scope->finish();
         m_connection->stopWatching();
@@ -166,8 +165,7 @@
     static constexpr std::size_t hopHeaderBytes = 512; ///< room for the headers that a peer adds
 
     node_context& m_context;
-    peer_forwarder& m_forwarder;
-    stream_directory& m_streams;
+    flow_services m_services;
     std::uint64_t m_receiver;
     std::shared_ptr<caller_connection> m_connection;
 };
--- /dev/null
+++ b/src/libs/gateway/crashdirectory.cpp
@@ -0,0 +1,142 @@
+#include "crashdirectory.h"
+
+#include "clock.h"
+#include "connectattempt.h"
+#include "requestlog.h"
+
+#include "wire/connect.h"
+
+#include "utils/eventlog.h"
+#include "utils/hashing.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace gateway {
+
+admitted_request crash_directory::admit(const request_plan& plan, std::uint64_t number, utils::time_point now)
+{
+    using enum decisions::part_verdict;
+    admitted_request admitted { crash_admission::Send,
+        m_context.crashingParts.check(plan.sharedParts(), now) };
+    const decisions::part_finding& finding = admitted.finding;
+    const auto enterOr = [&](crash_admission otherwise) {
+        return m_gate.tryEnter(finding.part, number, now) ? crash_admission::SendAlone : otherwise;
+    };
+    if (finding.verdict == Crashing || hasCrashedServers(m_context, plan, now))
+        admitted.admission = crash_admission::Refuse;
+    else if (finding.verdict == Suspect)
+        admitted.admission = enterOr(crash_admission::Wait);
+    else if (finding.verdict == OnTrial)
+        admitted.admission = finding.termOverFor >= otherNodesTryAfter || isFirstToTry(finding.part, now)
+            ? enterOr(crash_admission::Refuse)
+            : crash_admission::Refuse;
+    return admitted;
+}
+
+boost::asio::awaitable<void> crash_directory::attemptLost(
+    const client_request& request, const request_plan& plan, const lost_attempt& attempt)
+{
+    // The loss of this node's own path is no failure of the server.
+    if (attempt.hasAnswer || m_context.reachability.isCutOff(plan.service))
+        co_return;
+    const std::shared_ptr<server_check> checked = co_await check(attempt.server);
+    if (checked->connectError.empty())
+        co_return;
+    const utils::time_point present = now();
+    const decisions::crash_key crash = decisions::crashKey(attempt.server.str(), attempt.serverStartedAtMs);
+    const unsigned level = m_context.crashingParts.crashed(
+        decisions::serviceKey(plan.service), plan.sharedParts(), crash, attempt.sentAt, present);
+    m_context.poison.crashed(crash, { plan.digest }, present, false);
+    logCrash(request, plan, { attempt.server, level, checked->connectError });
+    sendNews(present);
+}
+
+boost::asio::awaitable<std::shared_ptr<crash_directory::server_check>> crash_directory::check(
+    utils::server_id server)
+{
+    std::shared_ptr<server_check>& known = m_checks[server];
+    const utils::time_point present = now();
+    if (!known || present - known->startedAt > checkLifetime) {
+        known = std::make_shared<server_check>(m_context.executor);
+        known->startedAt = present;
+        known->timer.expires_after(checkTimeout);
+        boost::asio::co_spawn(m_context.executor, probe(server, known), boost::asio::detached);
+    }
+    const std::shared_ptr<server_check> check = known;
+    if (check->timer.expiry() > std::chrono::steady_clock::now())
+        co_await check->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_return check;
+}
+
+boost::asio::awaitable<void> crash_directory::probe(
+    utils::server_id server, std::shared_ptr<server_check> check)
+{
+    const catalogue::backend_server* entry = m_context.servers.find(server);
+    const auto endpoint = entry == nullptr ? std::nullopt : wire::parseEndpoint(entry->address);
+    if (endpoint) {
+        const auto connection = std::make_shared<http_connection>(m_context.executor);
+        const auto scope = std::make_shared<stop_scope>(m_context.executor);
+        check->connectError = co_await connectWithin(scope, connection, *endpoint);
+        scope->finish();
+        connection->close();
+    }
+    if (!check->connectError.empty())
+        m_context.health.unreachable(server, now());
+    // Whoever asks later must not wait for the time that is left.
+    check->timer.expires_at(std::chrono::steady_clock::time_point::min());
+}
+
+bool crash_directory::isFirstToTry(std::uint64_t part, utils::time_point now) const
+{
+    const std::uint64_t own = utils::hash64(m_peers.ownAddress(), part);
+    return std::ranges::none_of(m_peers.presumedLive(now),
+        [&](const std::string& address) { return utils::hash64(address, part) < own; });
+}
+
+void crash_directory::onMessage(const crash_message& message)
+{
+    m_context.crashingParts.merge(message.strikes, now());
+}
+
+void crash_directory::onPeerStart(const std::string& address)
+{
+    const auto standing = m_context.crashingParts.standing(newsPerTick, now());
+    if (!standing.empty())
+        send(address, standing);
+}
+
+void crash_directory::tick(utils::time_point now)
+{
+    m_context.crashingParts.expire(now);
+    std::erase_if(
+        m_checks, [now](const auto& entry) { return now - entry.second->startedAt > checkLifetime; });
+    sendNews(now);
+}
+
+void crash_directory::sendNews(utils::time_point now)
+{
+    const auto news = m_context.crashingParts.takeNews(newsPerTick, now);
+    if (news.empty())
+        return;
+    for (const std::string& address : m_peers.sampleTargets())
+        send(address, news);
+}
+
+void crash_directory::send(
+    const std::string& address, const std::vector<decisions::part_strike>& strikes) const
+{
+    for (std::size_t at = 0; at < strikes.size(); at += crash_message::maxStrikes) {
+        const std::size_t end = std::min(strikes.size(), at + crash_message::maxStrikes);
+        crash_message message;
+        message.strikes.assign(strikes.begin() + static_cast<std::ptrdiff_t>(at),
+            strikes.begin() + static_cast<std::ptrdiff_t>(end));
+        m_send(address, encodeCrashMessage(message));
+    }
+}
+
+} // namespace gateway
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -29,6 +29,7 @@
     utils::duration viewBehind {}; ///< time since changes were known to be missing then
     bool isViewTooOld = false; ///< the view was too old to send anything more
     std::optional<overload_refusal> refused; ///< because of overload, before anything was sent
+    std::optional<decisions::part_finding> crashFinding; ///< why the request was not sent (again)
     utils::server_id copiedFrom; ///< the engine that the last attempt was told to copy from; empty: none
     stop_reason stopReason = stop_reason::None;
     /// Of the stream that the caller resumes.
--- a/src/libs/gateway/httpconnection.h
+++ b/src/libs/gateway/httpconnection.h
@@ -45,6 +45,8 @@
     const head_type& head() const { return m_parser->get().base(); }
     /// Whether the response is complete.
     bool isDone() const { return m_parser && m_parser->is_done(); }
+    /// Whether the response has neither a length nor chunks and ends with its connection.
+    bool endsWithConnection() const { return m_parser && m_parser->need_eof(); }
     /// Whether the connection may be used for another request: everything sent and received belongs to
     /// complete messages, and neither side closes it.
     bool isReusable() const;
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "clientsession.h"
+#include "crashdirectory.h"
 #include "nodecontext.h"
 #include "pathprober.h"
 #include "peerforwarder.h"
 #include "peerlink.h"
 #include "peertable.h"
+#include "recordkeeper.h"
 #include "streamdirectory.h"
 #include "textserver.h"
-#include "versionrecorder.h"
 #include "viewupdater.h"
 
 #include "wire/acceptloop.h"
@@ -43,7 +44,9 @@
         , m_forwarder(m_context, m_peers)
         , m_prober(m_context)
         , m_streams(m_context, m_peers)
-        , m_versionRecorder(m_context, m_peers)
+        , m_crashes(m_context, m_peers)
+        , m_versionKeeper(m_context, m_peers, version_record { m_context.versions })
+        , m_partKeeper(m_context, m_peers, part_record { m_context.crashingParts })
         , m_acceptor(executor)
         , m_forwardAcceptor(executor)
         , m_timer(executor)
@@ -56,9 +59,11 @@
     void start()
     {
         const auto executor = m_context.executor;
-        m_streams.start([this](const std::string& address, const std::string& datagram) {
+        const auto send = [this](const std::string& address, const std::string& datagram) {
             m_link->sendDatagram(address, datagram);
-        });
+        };
+        m_streams.start(send);
+        m_crashes.start(send);
         m_readiness->listen(m_context.options.readinessAddress);
         m_link->listen(m_context.options.peerAddress);
         if (m_context.options.metricsPort != 0)
@@ -106,6 +111,7 @@
         peer_events events;
         events.onHeartbeat = [this](const peer_heartbeat& heartbeat) { applyHeartbeat(heartbeat); };
         events.onStreamMessage = [this](const stream_message& message) { m_streams.onMessage(message); };
+        events.onCrashMessage = [this](const crash_message& message) { m_crashes.onMessage(message); };
         events.makeCopy = [this](const view_request& request) { return m_viewUpdater.copy(request, now()); };
         return events;
     }
@@ -126,6 +132,8 @@
         gauges.requestsInProgress = static_cast<double>(m_context.requestsInProgress);
         gauges.idleConnections = static_cast<double>(m_context.pool.size());
         gauges.crashStrikes = static_cast<double>(m_context.poison.size());
+        gauges.partStrikes = static_cast<double>(m_context.crashingParts.size());
+        gauges.crashingParts = static_cast<double>(m_context.crashingParts.refused(present));
         gauges.streamOrigins = static_cast<double>(m_streams.size());
         gauges.streamOriginsDropped = static_cast<double>(m_streams.dropped());
         gauges.openDescriptors = openDescriptors();
@@ -174,8 +182,8 @@
 
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, std::uint64_t receiver)
     {
-        const auto accepted
-            = std::make_shared<session>(m_context, m_forwarder, m_streams, std::move(socket), receiver);
+        const auto accepted = std::make_shared<session>(
+            m_context, flow_services { m_forwarder, m_streams, m_crashes }, std::move(socket), receiver);
         m_sessions.push_back(accepted);
         co_await accepted->run();
     }
@@ -232,8 +240,10 @@
         m_context.fleetSize.observe(static_cast<unsigned>(m_peers.knownNodes()), present);
         updateLimiters(present);
         m_viewUpdater.tick(present);
-        m_versionRecorder.tick(m_viewUpdater.followsStore(), present);
+        m_versionKeeper.tick(m_viewUpdater.followsStore(), present);
+        m_partKeeper.tick(m_viewUpdater.followsStore(), present);
         m_streams.tick(present);
+        m_crashes.tick(present);
         sendHeartbeats();
         advanceStop(present);
     }
@@ -328,6 +338,8 @@
             return;
         if (isStart)
             m_streams.onPeerStart(heartbeat.address);
+        if (isStart || known == nullptr)
+            m_crashes.onPeerStart(heartbeat.address);
         if (!heartbeat.omitsLists)
             applyLists(heartbeat, present);
         for (const reported_placement& reported : heartbeat.placements)
@@ -369,7 +381,9 @@
     peer_forwarder m_forwarder;
     path_prober m_prober;
     stream_directory m_streams;
-    version_recorder<Store> m_versionRecorder;
+    crash_directory m_crashes;
+    record_keeper<Store, version_record> m_versionKeeper;
+    record_keeper<Store, part_record> m_partKeeper;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::acceptor m_forwardAcceptor;
     boost::asio::steady_timer m_timer;
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -8,6 +8,7 @@
 #include "catalogue/serverdirectory.h"
 
 #include "decisions/coldstart.h"
+#include "decisions/crashingparts.h"
 #include "decisions/fleetsize.h"
 #include "decisions/loadshedding.h"
 #include "decisions/loopdelay.h"
@@ -34,13 +35,6 @@
 
 namespace gateway {
 
-/// A request in progress at a backend server; a suspect if the server crashes.
-struct running_request {
-    utils::server_id server;
-    std::uint64_t serverBornAt = 0;
-    decisions::body_digest digest;
-};
-
 /// The state shared by the components of a node. Not thread safe.
 struct node_context {
     node_context(boost::asio::any_io_executor ioExecutor, node_options nodeOptions);
@@ -64,12 +58,12 @@
     std::map<std::string, decisions::load_shedder> shedders; ///< by service
     decisions::loop_delay loopDelay; ///< of this node's event loop
     decisions::poison_register poison;
+    decisions::crashing_parts crashingParts;
     std::map<std::string, decisions::repeat_allowance> repeats; ///< by service
     connection_pool pool;
     node_metrics metrics;
     std::uint64_t requestsInProgress = 0;
     std::uint64_t sentRequests = 0; ///< to backend servers, since the start
-    std::map<std::uint64_t, running_request> runningRequests; ///< by request number
     std::uint64_t nextRequestNumber = 1;
     decisions::fleet_size fleetSize;
     decisions::service_window window; ///< when the node accepts requests
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -96,6 +96,10 @@
         "lycheefront_stream_origins_dropped", "Streams that were dropped before their time for lack of room");
     prometheus::Gauge& crashStrikes
         = gauge("lycheefront_crash_strikes", "Strikes against requests after crashes");
+    prometheus::Gauge& partStrikes
+        = gauge("lycheefront_part_strikes", "Strikes against parts of prompts after crashes");
+    prometheus::Gauge& crashingParts = gauge(
+        "lycheefront_crashing_parts", "Parts of prompts that are refused because servers crash under them");
     prometheus::Gauge& descriptors = gauge("process_open_fds", "Open descriptors");
     prometheus::Gauge& resident = gauge("process_resident_memory_bytes", "Memory held");
     prometheus::Gauge& dropped = gauge("lycheefront_log_lines_dropped", "Lines that nobody read in time");
@@ -196,6 +200,8 @@
     d->streamOrigins.Set(gauges.streamOrigins);
     d->streamOriginsDropped.Set(gauges.streamOriginsDropped);
     d->crashStrikes.Set(gauges.crashStrikes);
+    d->partStrikes.Set(gauges.partStrikes);
+    d->crashingParts.Set(gauges.crashingParts);
     d->descriptors.Set(gauges.openDescriptors);
     d->resident.Set(gauges.residentBytes);
     d->dropped.Set(gauges.droppedLogLines);
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -32,6 +32,8 @@
     double streamOrigins = 0; ///< streams whose origin is known
     double streamOriginsDropped = 0; ///< for lack of room
     double crashStrikes = 0; ///< strikes against requests that may crash backend servers
+    double partStrikes = 0; ///< the same against parts of prompts
+    double crashingParts = 0; ///< parts of prompts whose requests are refused
     double openDescriptors = 0;
     double residentBytes = 0;
     double droppedLogLines = 0;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -99,6 +99,11 @@
                 m_events.onStreamMessage(*message);
             continue;
         }
+        if (isCrashMessage(datagram)) {
+            if (const auto message = decodeCrashMessage(datagram))
+                m_events.onCrashMessage(*message);
+            continue;
+        }
         const auto heartbeat = decodeHeartbeat(datagram);
         if (heartbeat)
             m_events.onHeartbeat(*heartbeat);
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashmessages.h"
 #include "peermessages.h"
 #include "streammessages.h"
 
@@ -37,11 +38,12 @@
 struct peer_events {
     std::function<void(const peer_heartbeat&)> onHeartbeat;
     std::function<void(const stream_message&)> onStreamMessage;
+    std::function<void(const crash_message&)> onCrashMessage;
     std::function<view_copy(const view_request&)> makeCopy;
 };
 
-/// Carries messages between nodes: heartbeats and messages about streams as datagrams, copies of the view of
-/// the store over TCP.
+/// Carries messages between nodes: heartbeats and messages about streams and crashes as datagrams, copies of
+/// the view of the store over TCP.
 ///
 /// A copy is sent in chunks, each of which waits for the acknowledgement of the previous one. At most one
 /// chunk of each copy is queued at a link, where it delays everything else that the node sends. Either side
@@ -53,8 +55,8 @@
 
     /// Listens on that address, TCP and UDP. Throws boost::system::system_error.
     void listen(const boost::asio::ip::tcp::endpoint& address);
-    /// Sends an encoded heartbeat or message about streams to the node at that address, "ip:port". Lost
-    /// datagrams are not reported.
+    /// Sends an encoded heartbeat or message about streams or crashes to the node at that address, "ip:port".
+    /// Lost datagrams are not reported.
     void sendDatagram(const std::string& address, const std::string& datagram);
     /// Asks the node at that address, "ip:port", for a copy.
     boost::asio::awaitable<fetched_copy> fetchView(std::string address, view_request request);
--- a/src/libs/gateway/peertable.cpp
+++ b/src/libs/gateway/peertable.cpp
@@ -64,17 +64,23 @@
     std::erase_if(m_peers, [now](const auto& entry) { return now - entry.second.heardAt > addressLifetime; });
 }
 
+std::vector<std::string> peer_table::sampleTargets()
+{
+    std::vector<std::string> addresses = knownAddresses();
+    if (addresses.size() <= fanout)
+        return addresses;
+    std::ranges::shuffle(addresses, m_random);
+    addresses.resize(fanout);
+    return addresses;
+}
+
 std::vector<std::string> peer_table::targets()
 {
-    std::vector<std::string> addresses;
-    for (const auto& [address, seenAt] : m_addresses)
-        addresses.push_back(address);
-    if (addresses.size() <= fanout) {
+    std::vector<std::string> addresses = sampleTargets();
+    if (m_addresses.size() <= fanout) {
         m_toGreet.clear();
         return addresses;
     }
-    std::ranges::shuffle(addresses, m_random);
-    addresses.resize(fanout);
     for (std::size_t i = 0; i < maxGreetings && !m_toGreet.empty(); ++i) {
         if (std::ranges::find(addresses, m_toGreet.back()) == addresses.end())
             addresses.push_back(std::move(m_toGreet.back()));
--- a/src/libs/gateway/peertable.h
+++ b/src/libs/gateway/peertable.h
@@ -66,6 +66,8 @@
 
     /// The addresses for the next full heartbeat: a random sample, and peers that have just started.
     std::vector<std::string> targets();
+    /// A random sample of the known addresses, of the same size without those peers.
+    std::vector<std::string> sampleTargets();
     /// All known addresses but these. A node that follows the store sends them the heartbeat without lists.
     std::vector<std::string> addressesExcept(const std::vector<std::string>& targets) const;
     /// Number of peers that follow the store and were heard within decisions::followerTimeout.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -4,6 +4,7 @@
 #include "attempttracker.h"
 #include "clock.h"
 #include "connectattempt.h"
+#include "crashdirectory.h"
 #include "flowresult.h"
 #include "peerforwarder.h"
 #include "requestlog.h"
@@ -22,18 +23,25 @@
 
 namespace gateway {
 
+/// What the requests of a node share besides its context.
+struct flow_services {
+    peer_forwarder& forwarder;
+    stream_directory& streams;
+    crash_directory& crashes;
+};
+
 /// Processes one request: chooses a backend server, sends the request, retries it where attempt_record
 /// allows, and forwards the response. While this node cannot connect to the servers of the service, the
 /// request goes by way of a peer. Not thread safe.
 template <wire_protocol Wire> class request_flow {
 public:
     /// Precondition: all arguments outlive run().
-    request_flow(node_context& context, peer_forwarder& forwarder, stream_directory& streams,
-        const client_request& request, const request_plan& plan, std::shared_ptr<stop_scope> scope,
-        response_writer& writer)
+    request_flow(node_context& context, const flow_services& services, const client_request& request,
+        const request_plan& plan, std::shared_ptr<stop_scope> scope, response_writer& writer)
         : m_context(context)
-        , m_forwarder(forwarder)
-        , m_streams(streams)
+        , m_forwarder(services.forwarder)
+        , m_streams(services.streams)
+        , m_crashes(services.crashes)
         , m_request(request)
         , m_plan(plan)
         , m_scope(std::move(scope))
@@ -41,7 +49,7 @@
         , m_record(plan.route->mayRepeat(), plan.route->maxAttempts)
         , m_requestNumber(context.nextRequestNumber++)
         , m_tracker(context, plan, m_requestNumber)
-        , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_result, streams })
+        , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_result, m_streams })
     {
     }
 
@@ -50,21 +58,26 @@
         if (m_request.hop)
             m_record.addEarlier(m_request.hop->earlierRuns, m_request.hop->earlierSent);
         m_context.rejections.recordArrival(m_plan.service, now());
-        co_await findOrigin();
-        while (m_result.origin.source != decisions::origin_source::Unknown
+        if (admit())
+            co_await findOrigin();
+        while (!m_result.crashFinding && m_result.origin.source != decisions::origin_source::Unknown
             && m_scope->checkDeadline(now()) == stop_reason::None) {
             recordViewAge();
             if (m_result.isViewTooOld)
                 break;
-            const std::optional<forward_target> peer = choosePeer();
             bool mayGoOn = false;
-            if (peer)
+            if (const std::optional<forward_target> peer = choosePeer())
                 mayGoOn = co_await tryPeer(*peer);
+            else if (m_admission == crash_admission::Wait)
+                mayGoOn = co_await waitForVerdict();
             else
                 mayGoOn = co_await tryNextServer();
-            if (!mayGoOn || !m_record.mayRetry() || m_result.isTruncated || hasEventsOfUnknownVersion())
+            m_crashes.finished(m_requestNumber);
+            if (!mayGoOn || !m_record.mayRetry() || m_result.isTruncated || hasEventsOfUnknownVersion()
+                || !admit())
                 break;
         }
+        m_crashes.finished(m_requestNumber);
         m_result.attempts = m_record.attempts();
         m_result.sent = m_record.sent();
         m_result.stopReason = m_scope->reason();
@@ -94,6 +107,29 @@
             m_result.streamVersion = m_result.origin.version;
     }
 
+    /// Decides whether, and how, the next attempt may be made. Returns false if none may be.
+    bool admit()
+    {
+        const admitted_request admitted = m_crashes.admit(m_plan, m_requestNumber, now());
+        m_admission = admitted.admission;
+        m_suspectPart.reset();
+        if (m_admission == crash_admission::SendAlone)
+            m_suspectPart = admitted.finding.part;
+        if (m_admission == crash_admission::Refuse)
+            m_result.crashFinding = admitted.finding;
+        return m_admission != crash_admission::Refuse;
+    }
+
+    /// Waits for the end of another request with the same suspect part. Returns whether to go on.
+    boost::asio::awaitable<bool> waitForVerdict()
+    {
+        constexpr utils::duration pause = std::chrono::milliseconds(20);
+        m_waitedForVerdict += pause;
+        boost::asio::steady_timer timer(m_context.executor, pause);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        co_return m_waitedForVerdict < m_plan.route->targetLatency;
+    }
+
     /// Whether the caller has events from a peer that does not tell their version.
     bool hasEventsOfUnknownVersion() const { return m_relay.eventCount() > 0 && !m_result.streamVersion; }
 
@@ -180,7 +216,7 @@
     boost::asio::awaitable<bool> tryNextServer()
     {
         const choice_constraints constraints { m_triedServers, m_result.streamVersion,
-            m_requestNumber * 31 + m_record.attempts() };
+            m_requestNumber * 31 + m_record.attempts(), m_suspectPart };
         const auto placement = chooseServer(m_context, m_plan, constraints, now());
         if (!placement && mayWaitForRoom()) {
             co_await waitForRoom();
@@ -208,6 +244,8 @@
         m_result.lastOutcome = co_await tryServer(placement->server);
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
+        if (m_result.lastOutcome == attempt_outcome::Cut || m_result.lastOutcome == attempt_outcome::Silent)
+            co_await m_crashes.attemptLost(m_request, m_plan, m_tracker.lost(now()));
         m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
         m_record.add(m_result.lastOutcome);
         co_return true;
@@ -270,11 +308,12 @@
             co_return attempt_outcome::NotSent;
         }
         // While this request waited for its connection, the server may have begun to drain, its data centre
-        // may be evacuated, and another request may have taken this node's part of what a cold server takes.
+        // may be evacuated, requests like it may have crashed servers, and another request may have taken
+        // this node's part of what a cold server takes.
         recordViewAge();
         const catalogue::backend_server* entry = m_context.servers.find(server);
         if (entry == nullptr || !maySendTo(m_context, m_plan, *entry, m_result.streamVersion, now())
-            || m_result.isViewTooOld) {
+            || m_result.isViewTooOld || !isStillAdmitted()) {
             m_context.pool.put(server, connection, now());
             co_return attempt_outcome::NotSent;
         }
@@ -307,6 +346,11 @@
         co_return outcome;
     }
 
+    bool isStillAdmitted()
+    {
+        return m_crashes.admit(m_plan, m_requestNumber, now()).admission == m_admission;
+    }
+
     /// Returns an open connection, or null when none could be opened in time.
     boost::asio::awaitable<http_connection_ptr> openConnection(utils::server_id server)
     {
@@ -409,6 +453,10 @@
         }
         if (m_result.refused)
             kind = m_result.refused->refusal.kind;
+        else if (m_result.crashFinding && m_record.hasProvablyNotRun())
+            kind = utils::error_kind::RequestCrashesServers;
+        else if (m_admission == crash_admission::Wait && m_record.hasProvablyNotRun())
+            kind = utils::error_kind::QueueFull;
         else if (m_result.origin.source == decisions::origin_source::Unknown)
             kind = utils::error_kind::StreamOriginUnknown;
         else if (kind == utils::error_kind::NoServer && m_result.streamVersion
@@ -431,6 +479,7 @@
     node_context& m_context;
     peer_forwarder& m_forwarder;
     stream_directory& m_streams;
+    crash_directory& m_crashes;
     const client_request& m_request;
     const request_plan& m_plan;
     std::shared_ptr<stop_scope> m_scope;
@@ -442,6 +491,9 @@
     std::set<std::string> m_triedPeers;
     utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
     utils::duration m_waitedForRoom {};
+    crash_admission m_admission = crash_admission::Send;
+    std::optional<std::uint64_t> m_suspectPart; ///< with SendAlone
+    utils::duration m_waitedForVerdict {};
     flow_result m_result;
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
     response_relay<Wire> m_relay;
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -5,6 +5,7 @@
 #include "utils/eventlog.h"
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 namespace gateway {
@@ -99,6 +100,15 @@
         fields.push_back({ "loop_delay_ms", millisecondsText(result.refused->query.loopDelay) });
         fields.push_back({ "limit_ms", millisecondsText(result.refused->limit) });
     }
+    if (result.crashFinding) {
+        const decisions::part_finding& finding = *result.crashFinding;
+        fields.push_back({ "verdict", std::string(decisions::toString(finding.verdict)) });
+        fields.push_back(
+            { "crashing_part", partsText(std::array { decisions::prompt_part { finding.part, 0 } }) });
+        fields.push_back({ "crash_level", std::to_string(finding.level) });
+        fields.push_back({ "crash_age_ms", millisecondsText(finding.age) });
+        fields.push_back({ "crash_seen_by", finding.isOwn ? "this_node" : "peer" });
+    }
     if (result.failure->retryAfter)
         fields.push_back({ "retry_after_ms", millisecondsText(*result.failure->retryAfter) });
     if (!result.failure->detail.empty())
@@ -126,6 +136,21 @@
     utils::logEvent(utils::event::AttemptFailed, fields);
 }
 
+void logCrash(const client_request& request, const request_plan& plan, const logged_crash& crash)
+{
+    utils::logEvent(utils::event::ServerCrashed,
+        { { "server", crash.server.str() }, { "service", plan.service }, { "request", request.requestId },
+            { "shared_parts", partsText(plan.sharedParts()) }, { "level", std::to_string(crash.level) },
+            { "connect", crash.connectError } });
+}
+
+void logPartsCleared(const request_plan& plan, const utils::server_id& server, unsigned level)
+{
+    utils::logEvent(utils::event::PartCleared,
+        { { "server", server.str() }, { "service", plan.service },
+            { "shared_parts", partsText(plan.sharedParts()) }, { "level", std::to_string(level) } });
+}
+
 void logRejected(const utils::failure& failure)
 {
     const std::string kind(utils::answerFor(failure.kind).name);
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -115,6 +115,19 @@
     return candidate.weight > 0;
 }
 
+/// Leaves one of the usable candidates, by rendezvous hashing of the part.
+void keepFirstRanked(std::vector<decisions::server_candidate>& candidates, std::uint64_t part)
+{
+    const auto rank = [part](const decisions::server_candidate& candidate) {
+        return std::pair(!isWeighted(candidate), utils::hash64(candidate.id.str(), part));
+    };
+    const auto first = std::ranges::min_element(candidates, {}, rank);
+    for (auto it = candidates.begin(); it != candidates.end(); ++it) {
+        if (it != first)
+            it->weight = 0;
+    }
+}
+
 bool isOfVersion(const catalogue::backend_server& server, decisions::version_key version)
 {
     return decisions::versionKey(server.softwareVersion) == version;
@@ -192,8 +205,8 @@
     if (!context.window.mayAccept(plan.route->timeout, request.arrivedAt))
         return utils::fail(error_kind::ShuttingDown, "this node is leaving");
     plan.digest = digestOf(request, plan.workspace);
-    if (context.poison.check(plan.digest, now) == decisions::poison_verdict::Refuse)
-        return utils::fail(error_kind::ServerFailed, "this request has crashed its backend servers");
+    if (hasCrashedServers(context, plan, now))
+        return utils::fail(error_kind::RequestCrashesServers, "this request has crashed its backend servers");
     plan.service = pickService(*plan.route, utils::hash64(request.requestId));
     const catalogue::service* service = plan.configuration->findService(plan.service);
     if (service != nullptr)
@@ -251,6 +264,8 @@
             : 0;
         candidates.push_back(candidateOf(*server, plan, weight, context.failures.countAt(server->id, now)));
     }
+    if (constraints.suspectPart)
+        keepFirstRanked(candidates, *constraints.suspectPart);
     // No other server may go on with the stream, so one that is avoided otherwise is better than none.
     if (constraints.version && std::ranges::none_of(candidates, isWeighted)) {
         for (decisions::server_candidate& candidate : candidates) {
@@ -363,19 +378,9 @@
     return utils::fromSeconds(utils::toSeconds(pause) * (1 + retryJitter * part));
 }
 
-void recordCrash(node_context& context, const utils::server_id& server, utils::time_point now)
+bool hasCrashedServers(const node_context& context, const request_plan& plan, utils::time_point now)
 {
-    std::vector<decisions::body_digest> suspects;
-    std::uint64_t bornAt = 0;
-    for (const auto& [number, request] : context.runningRequests) {
-        if (request.server != server)
-            continue;
-        suspects.push_back(request.digest);
-        bornAt = request.serverBornAt;
-    }
-    const std::uint64_t crash = utils::combineHashes(utils::hash64(server.str()), bornAt);
-    const bool isWhole = context.loads.total(server, now).requests <= suspects.size();
-    context.poison.crashed(crash, suspects, now, isWhole);
+    return context.poison.check(plan.digest, now) == decisions::poison_verdict::Refuse;
 }
 
 } // namespace gateway
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -38,7 +38,7 @@
 };
 
 /// Looks up route, API key and service. Fails with UnknownRoute, UnknownTeam, NodeNotCurrent, ShuttingDown or
-/// ServerFailed (the request has crashed backend servers).
+/// RequestCrashesServers.
 utils::result<request_plan> planRequest(
     node_context& context, const client_request& request, utils::time_point now);
 
@@ -61,6 +61,8 @@
     const std::set<utils::server_id>& tried; ///< not to be chosen again
     bound_version version;
     std::uint64_t salt = 0; ///< orders equal candidates
+    /// A suspect part of the prompt: its requests go to one server, the same from all nodes.
+    std::optional<std::uint64_t> suspectPart {};
 };
 
 /// Chooses a backend server; nullopt when there is none.
@@ -107,8 +109,7 @@
 /// Returns the time after which a refused caller should retry, with jitter by `salt`.
 utils::duration retryAfterFor(utils::error_kind kind, std::uint64_t salt);
 
-/// Records a crash of a server: each request that was running there gets a strike, which other requests and
-/// other nodes act on.
-void recordCrash(node_context& context, const utils::server_id& server, utils::time_point now);
+/// Whether the request itself, however often it is repeated, has crashed servers.
+bool hasCrashedServers(const node_context& context, const request_plan& plan, utils::time_point now);
 
 } // namespace gateway
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -266,7 +266,9 @@
             if (connection->isDone())
                 break;
         }
-        if (!m_scanner.isAtBoundary())
+        // Where the end of the connection is the end of the stream, it says nothing without an event.
+        const bool isEmpty = isFirst && connection->endsWithConnection();
+        if (!m_scanner.isAtBoundary() || isEmpty)
             co_return attempt_outcome::Cut;
         if (!m_writer.hasBegun() && !co_await m_writer.writePart(*m_streamHead, {}))
             co_return attempt_outcome::Stopped;
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/storeview.h
@@ -41,9 +41,13 @@
 /// Key of the record of the software versions in use, see decisions::version_history. The nodes write it.
 inline constexpr std::string_view versionRecordKey = "software-versions";
 
+/// Key of the record of the parts of prompts that are refused, see decisions::crashing_parts. The nodes write
+/// it.
+inline constexpr std::string_view partRecordKey = "crashing-parts";
+
 /// This node's view of the store, received from the store itself or from peers, and applied to the context.
 /// The revisions of the store define the order: an older item never replaces a newer one, whatever its
-/// source. Evacuations and the record of software versions travel with the entries of backend servers: they
+/// source. Evacuations and the records that nodes write travel with the entries of backend servers: they
 /// all say where requests may be sent. Not thread safe.
 template <catalogue_codec Codec> class store_view {
 public:
@@ -79,11 +83,10 @@
             });
     }
 
-    /// Whether the item is an entry of a backend server, an evacuation or the record of software versions.
+    /// Whether the item is an entry of a backend server, an evacuation or a record that nodes write.
     static bool isServerItem(const store_item& item)
     {
-        return item.key.starts_with(Codec::serverPrefix()) || isEvacuation(item.key)
-            || item.key == versionRecordKey;
+        return item.key.starts_with(Codec::serverPrefix()) || isEvacuation(item.key) || isRecord(item.key);
     }
 
     /// Replaces all entries of backend servers and all evacuations by those at revision `asOf`.
@@ -109,8 +112,8 @@
             m_servers[item.key] = item;
             if (isEvacuation(item.key))
                 evacuated.insert(dataCentreOf(item.key));
-            else if (item.key == versionRecordKey)
-                applyVersionRecord({ item, false }, now);
+            else if (isRecord(item.key))
+                applyRecord({ item, false }, now);
             else if (auto entry = decode(item))
                 entries.push_back(std::move(*entry));
         }
@@ -136,8 +139,8 @@
         }
         if (isEvacuation(key))
             setEvacuated(dataCentreOf(key), !change.isRemoved, now, source);
-        else if (key == versionRecordKey)
-            applyVersionRecord(change, now);
+        else if (isRecord(key))
+            applyRecord(change, now);
         else
             changeServer(change, now, isAuthoritative, source);
         m_context.updateServers();
@@ -236,6 +239,7 @@
 
 private:
     static bool isEvacuation(std::string_view key) { return key.starts_with(Codec::evacuationPrefix()); }
+    static bool isRecord(std::string_view key) { return key == versionRecordKey || key == partRecordKey; }
     static std::string dataCentreOf(const std::string& key)
     {
         return key.substr(std::string_view(Codec::evacuationPrefix()).size());
@@ -252,6 +256,28 @@
         logServer(id, source);
     }
 
+    void applyRecord(const store_change& change, utils::time_point now)
+    {
+        if (change.item.key == partRecordKey)
+            applyPartRecord(change, now);
+        else
+            applyVersionRecord(change, now);
+    }
+
+    void applyPartRecord(const store_change& change, utils::time_point now)
+    {
+        const std::uint64_t revision = change.item.revision;
+        if (revision <= m_context.crashingParts.recordRevision())
+            return;
+        std::optional<std::string> record;
+        if (!change.isRemoved)
+            record = change.item.value;
+        m_context.crashingParts.applyRecord(record, revision, now);
+        utils::logEvent(utils::event::CrashingParts,
+            { { "parts", std::to_string(m_context.crashingParts.refused(now)) },
+                { "revision", std::to_string(revision) } });
+    }
+
     void applyVersionRecord(const store_change& change, utils::time_point now)
     {
         const std::uint64_t revision = change.item.revision;
--- a/src/libs/utils/errorkind.cpp
+++ b/src/libs/utils/errorkind.cpp
@@ -43,6 +43,8 @@
     { PlatformUnavailable, "platform_unavailable", 503, NotRun, true, "The platform's service is down" },
     { ShuttingDown, "shutting_down", 503, NotRun, true, "This node is leaving" },
     { PoisonRequest, "poison_request", 422, MayHaveRun, false, "The request crashes its backend servers" },
+    { RequestCrashesServers, "request_crashes_servers", 503, NotRun, false,
+        "Requests like this one crash their backend servers" },
     { ServerFailed, "server_failed", 502, MayHaveRun, false, "The backend server failed" },
     { ServerTimeout, "server_timeout", 504, MayHaveRun, false, "The backend server took too long" },
     { AnswerCut, "answer_cut", 502, MayHaveRun, false, "The answer was cut before its end" },
--- a/src/libs/utils/errorkind.h
+++ b/src/libs/utils/errorkind.h
@@ -34,6 +34,7 @@
     PlatformUnavailable,
     ShuttingDown,
     PoisonRequest,
+    RequestCrashesServers,
     ServerFailed,
     ServerTimeout,
     AnswerCut,
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -43,6 +43,8 @@
         "The evacuation of a data centre has begun or ended" },
     event_info { event::SoftwareVersions, Info, "software_versions",
         "The record of the software versions of a service has changed" },
+    event_info { event::CrashingParts, Info, "crashing_parts",
+        "The record of the parts of prompts that are refused has changed" },
     event_info { event::RequestDone, Info, "request_done", "A request was answered completely" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info {
@@ -54,6 +56,8 @@
         "This node cannot connect to the backend servers of a service" },
     event_info { event::ServiceReached, Info, "service_reached",
         "This node connects to the backend servers of a service again" },
+    event_info { event::PartCleared, Info, "part_cleared",
+        "An answer began with parts of a prompt that were suspect of crashing servers" },
     event_info { event::PlatformFailure, Warning, "platform_failure", "A call to the platform failed" },
     event_info { event::StoreLost, Warning, "store_lost", "The platform's store does not answer" },
     event_info { event::StoreRegained, Info, "store_regained", "The platform's store answers again" },
--- /dev/null
+++ b/tests/auto/decisions/tst_crashingparts.cpp
@@ -0,0 +1,206 @@
+#include "decisions/crashingparts.h"
+#include "decisions/suspectgate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using decisions::crashing_parts;
+using decisions::part_strike;
+using decisions::part_verdict;
+using decisions::prompt_part;
+
+namespace {
+
+constexpr std::uint32_t service = 7;
+constexpr std::uint32_t otherService = 8;
+const std::vector<prompt_part> prompt { { 1, 500 }, { 2, 300 } };
+const std::vector<prompt_part> soundPrompt { { 1, 500 }, { 3, 300 } };
+
+utils::time_point at(std::chrono::milliseconds time)
+{
+    return utils::time_point(1000s + time);
+}
+
+/// Crashes in a row, each of a request that was sent after the crash before was known.
+void crashInRow(crashing_parts& parts, unsigned crashes, std::chrono::milliseconds from = 0ms)
+{
+    for (unsigned i = 0; i < crashes; ++i)
+        parts.crashed(service, prompt, i + 1, at(from + i * 200ms + 1ms), at(from + (i + 1) * 200ms));
+}
+
+part_verdict verdictOn(const crashing_parts& parts, std::uint64_t part, std::chrono::milliseconds time)
+{
+    return parts.check(std::vector<prompt_part> { { part, 100 } }, at(time)).verdict;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crashing_part_rules)
+
+BOOST_AUTO_TEST_CASE(three_crashes_in_a_row_convict)
+{
+    crashing_parts parts;
+    BOOST_TEST((verdictOn(parts, 2, 0ms) == part_verdict::Sound));
+    crashInRow(parts, 1);
+    BOOST_TEST((verdictOn(parts, 2, 200ms) == part_verdict::Sound));
+    crashInRow(parts, 2);
+    BOOST_TEST((verdictOn(parts, 2, 400ms) == part_verdict::Suspect));
+    crashInRow(parts, 3);
+    BOOST_TEST((verdictOn(parts, 2, 600ms) == part_verdict::Crashing));
+    BOOST_TEST(parts.refused(at(600ms)) == 2u); // the first part had no answer in between either
+    const auto finding = parts.check(prompt, at(1s));
+    BOOST_TEST(finding.level == 3u);
+    BOOST_TEST(finding.isOwn);
+    BOOST_TEST((finding.age == 400ms));
+}
+
+// Guards against a rack that fails and gets all parts that were in use there refused.
+BOOST_AUTO_TEST_CASE(servers_that_fail_at_once_make_one_link)
+{
+    crashing_parts parts;
+    for (decisions::crash_key crash = 1; crash <= 20; ++crash)
+        parts.crashed(service, prompt, crash, at(0ms), at(100ms + crash * 1ms));
+    BOOST_TEST((verdictOn(parts, 1, 200ms) == part_verdict::Sound));
+}
+
+// Guards against a sound part that is refused because it is used beside a crashing one.
+BOOST_AUTO_TEST_CASE(an_answer_clears_what_was_known_when_it_began)
+{
+    crashing_parts parts;
+    crashInRow(parts, 2);
+    BOOST_TEST(parts.answered(service, soundPrompt, at(300ms), at(450ms)) == 1u);
+    BOOST_TEST((verdictOn(parts, 1, 450ms) == part_verdict::Suspect)); // the second crash came later
+    BOOST_TEST(parts.answered(service, soundPrompt, at(460ms), at(560ms)) == 2u);
+    BOOST_TEST((verdictOn(parts, 1, 560ms) == part_verdict::Sound));
+    BOOST_TEST((verdictOn(parts, 2, 560ms) == part_verdict::Suspect));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_another_service_clears_nothing)
+{
+    crashing_parts parts;
+    crashInRow(parts, 3);
+    BOOST_TEST(parts.answered(otherService, prompt, at(700ms), at(800ms)) == 0u);
+    BOOST_TEST((verdictOn(parts, 2, 800ms) == part_verdict::Crashing));
+}
+
+// Guards against a part in steady use that is refused at few crashes, which other nodes then follow.
+BOOST_AUTO_TEST_CASE(a_part_with_answers_takes_longer_to_convict)
+{
+    crashing_parts parts;
+    parts.answered(service, prompt, at(-200ms), at(-100ms));
+    crashInRow(parts, 4);
+    BOOST_TEST((verdictOn(parts, 2, 800ms) == part_verdict::Suspect));
+    crashInRow(parts, 5);
+    BOOST_TEST((verdictOn(parts, 2, 1000ms) == part_verdict::Crashing));
+}
+
+// Guards against a part that is never tried again, and against one that is tried again and again.
+BOOST_AUTO_TEST_CASE(a_refused_part_is_tried_at_growing_intervals)
+{
+    crashing_parts parts;
+    crashInRow(parts, 3);
+    BOOST_TEST((verdictOn(parts, 2, 20s) == part_verdict::Crashing));
+    BOOST_TEST((verdictOn(parts, 2, 21s) == part_verdict::OnTrial));
+    parts.crashed(service, prompt, 9, at(21s), at(22s));
+    BOOST_TEST((verdictOn(parts, 2, 180s) == part_verdict::Crashing));
+    BOOST_TEST((verdictOn(parts, 2, 183s) == part_verdict::OnTrial));
+    parts.answered(service, prompt, at(183s), at(184s));
+    BOOST_TEST((verdictOn(parts, 2, 184s) == part_verdict::Sound));
+}
+
+BOOST_AUTO_TEST_CASE(peers_learn_strikes_and_what_cleared_them)
+{
+    crashing_parts here;
+    crashing_parts peer;
+    crashInRow(here, 3);
+    peer.merge(here.takeNews(20, at(600ms)), at(605ms));
+    BOOST_TEST((verdictOn(peer, 2, 605ms) == part_verdict::Crashing));
+    BOOST_TEST(!peer.check(prompt, at(605ms)).isOwn);
+    peer.answered(service, prompt, at(700ms), at(800ms));
+    here.merge(peer.takeNews(20, at(800ms)), at(805ms));
+    BOOST_TEST((verdictOn(here, 2, 805ms) == part_verdict::Sound));
+    // A strike that comes again does not count again, and its sender is told.
+    (void)peer.takeNews(20, at(810ms));
+    (void)peer.takeNews(20, at(820ms));
+    BOOST_TEST(peer.takeNews(20, at(830ms)).empty());
+    peer.merge(std::vector<part_strike> { { 2, 3, service, 3, false, 10 } }, at(840ms));
+    BOOST_TEST((verdictOn(peer, 2, 840ms) == part_verdict::Sound));
+    BOOST_TEST(peer.takeNews(20, at(850ms)).size() == 1u);
+}
+
+// Guards against the innocents of one crash that displace what convicts.
+BOOST_AUTO_TEST_CASE(news_begins_with_the_highest_level)
+{
+    crashing_parts parts;
+    crashInRow(parts, 3);
+    for (std::uint64_t part = 100; part < 200; ++part)
+        parts.crashed(service, std::vector<prompt_part> { { part, 1 } }, 50, at(600ms), at(700ms));
+    const auto news = parts.takeNews(4, at(700ms));
+    BOOST_REQUIRE(news.size() == 4u);
+    BOOST_TEST(unsigned(news.front().level) == 3u);
+    BOOST_TEST(unsigned(news.back().level) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_day_without_a_crash_has_no_news)
+{
+    crashing_parts parts;
+    parts.answered(service, prompt, at(0ms), at(100ms));
+    parts.expire(at(5s));
+    BOOST_TEST(parts.takeNews(20, at(5s)).empty());
+    BOOST_TEST(!parts.missingRecord(at(5s)).has_value());
+    BOOST_TEST(parts.size() == 0u);
+}
+
+// Guards against made-up parts that displace convictions, and against unbounded memory.
+BOOST_AUTO_TEST_CASE(the_least_convicting_strikes_are_dropped_first)
+{
+    crashing_parts parts({ .maxStrikes = 100 });
+    crashInRow(parts, 3);
+    for (std::uint64_t part = 1000; part < 3000; ++part)
+        parts.crashed(service, std::vector<prompt_part> { { part, 1 } }, 50, at(600ms), at(700ms));
+    BOOST_TEST(parts.size() == 100u);
+    BOOST_TEST((verdictOn(parts, 2, 700ms) == part_verdict::Crashing));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_keeps_convictions_over_a_restart)
+{
+    crashing_parts before;
+    crashInRow(before, 3);
+    const auto record = before.missingRecord(at(600ms));
+    BOOST_REQUIRE(record.has_value());
+    before.applyRecord(record, 5, at(610ms));
+    BOOST_TEST(!before.missingRecord(at(620ms)).has_value());
+    crashing_parts after;
+    after.applyRecord(record, 5, at(1s));
+    BOOST_TEST((verdictOn(after, 2, 1s) == part_verdict::Crashing));
+    BOOST_TEST(!after.missingRecord(at(1s)).has_value());
+    // An answer on trial clears the part, also in the record.
+    after.answered(service, prompt, at(22s), at(23s));
+    BOOST_TEST(after.missingRecord(at(23s)).value_or("missing").empty());
+    after.applyRecord(record, 5, at(24s));
+    BOOST_TEST((verdictOn(after, 2, 24s) == part_verdict::Sound));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_lines_of_a_record_are_skipped)
+{
+    crashing_parts parts;
+    parts.applyRecord("zz 3\n2 x\n\n2\n3 3 3\nff 4\n", 1, at(0ms));
+    BOOST_TEST(parts.refused(at(0ms)) == 1u);
+    BOOST_TEST((verdictOn(parts, 0xff, 0ms) == part_verdict::Crashing));
+}
+
+BOOST_AUTO_TEST_CASE(one_request_at_a_time_goes_on_with_a_suspect_part)
+{
+    decisions::suspect_gate gate;
+    BOOST_TEST(gate.tryEnter(2, 1, at(0ms)));
+    BOOST_TEST(gate.tryEnter(2, 1, at(10ms)));
+    BOOST_TEST(!gate.tryEnter(2, 5, at(20ms)));
+    BOOST_TEST(gate.tryEnter(3, 5, at(20ms)));
+    gate.leave(1);
+    BOOST_TEST(gate.tryEnter(2, 6, at(30ms)));
+    BOOST_TEST(gate.tryEnter(2, 7, at(30ms) + decisions::suspect_gate::turn));
+    gate.leave(6);
+    BOOST_TEST(!gate.tryEnter(2, 8, at(40ms) + decisions::suspect_gate::turn));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
