A node with the callers of a whole region closes connections unread that others can serve

Change: accept_rounds measures the iterations of the loop by the connections they accept; from 90 ms of forecast wait on a growing share, at most 95 in 100, is closed unread, if this node has more than twice the requests of the others. Their callers know that nothing ran and ask another node at once. Where all are as busy, load_shedder refuses with Retry-After as before.

--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -15,6 +15,8 @@
 #include "wire/acceptloop.h"
 #include "wire/connect.h"
 
+#include "decisions/connectiongate.h"
+
 #include "utils/crypto.h"
 #include "utils/hashing.h"
 
@@ -23,6 +25,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 
 namespace gateway {
 
@@ -170,8 +173,26 @@
             m_openTimer.expires_after(m_context.window.opensAt() - now());
             co_await m_openTimer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         }
-        co_await wire::acceptLoop(
-            m_acceptor, [this](boost::asio::ip::tcp::socket socket) { return serve(std::move(socket), 0); });
+        co_await wire::acceptLoop(m_acceptor,
+            [this](boost::asio::ip::tcp::socket socket) { return serveCaller(std::move(socket)); });
+    }
+
+    /// Serves a caller's connection, or closes it unread where other nodes can serve the caller sooner.
+    boost::asio::awaitable<void> serveCaller(boost::asio::ip::tcp::socket socket)
+    {
+        m_acceptRounds.accepted(now());
+        decisions::connection_query query;
+        if (m_context.loopDelay.standing() > utils::duration::zero())
+            query.loopDelay = m_acceptRounds.iteration() * decisions::loop_delay::iterationsPerRequest;
+        query.requestsInProgress = m_context.requestsInProgress;
+        query.peerRequests = m_peerRequests.value_or(0);
+        query.hasPeers = m_peerRequests.has_value();
+        query.hash = utils::combineHashes(m_bootId, ++m_acceptedConnections);
+        if (decisions::mustCloseUnread(query)) {
+            m_context.metrics.countClosedUnread();
+            co_return;
+        }
+        co_await serve(std::move(socket), 0);
     }
 
     boost::asio::awaitable<void> acceptForwarded()
@@ -238,6 +259,7 @@
         m_peers.expire(present);
         std::erase_if(m_sessions, [](const auto& weak) { return weak.expired(); });
         m_context.fleetSize.observe(static_cast<unsigned>(m_peers.knownNodes()), present);
+        m_peerRequests = m_peers.meanRequestsInProgress(present);
         updateLimiters(present);
         m_viewUpdater.tick(present);
         m_versionKeeper.tick(m_viewUpdater.followsStore(), present);
@@ -389,6 +411,9 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_openTimer;
     std::list<std::weak_ptr<session>> m_sessions;
+    std::optional<double> m_peerRequests; ///< in progress at a peer, in the mean; nothing: no peer is heard
+    decisions::accept_rounds m_acceptRounds; ///< of callers' connections
+    std::uint64_t m_acceptedConnections = 0; ///< from callers
     bool m_isDone = false;
     std::function<void()> m_onDone;
 };
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -61,6 +61,9 @@
         "lycheefront_server_connects_total", "Connections opened to backend servers, by service and end");
     counter_family& forwards
         = counters("lycheefront_forwarded_requests_total", "Requests forwarded to peers, by service and end");
+    prometheus::Counter& closedUnread = counters("lycheefront_connections_closed_unread_total",
+        "Callers' connections closed unread, since this node has more than it can do and others have less")
+                                            .Add({});
     counter_family& storeCalls
         = counters("lycheefront_store_calls_total", "Calls to the store, by kind and end");
     counter_family& heartbeats = counters("lycheefront_peer_beats_total", "Beats sent and received");
@@ -159,6 +162,11 @@
         .Increment();
 }
 
+void node_metrics::countClosedUnread()
+{
+    d->closedUnread.Increment();
+}
+
 void node_metrics::countForward(std::string_view service, attempt_outcome end)
 {
     d->forwards.Add({ { "service", str(service) }, { "end", str(toString(end)) } }).Increment();
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -65,6 +65,8 @@
     void countColdRequest(std::string_view service);
     /// Counts a connection to a backend server that was accepted or not.
     void countConnect(std::string_view service, bool isAccepted);
+    /// Counts a caller's connection that was closed before its request was read.
+    void countClosedUnread();
     /// Counts an attempt by way of a peer.
     void countForward(std::string_view service, attempt_outcome end);
     void countStoreCall(store_call call, store_status status);
--- a/src/libs/gateway/peertable.cpp
+++ b/src/libs/gateway/peertable.cpp
@@ -124,6 +124,19 @@
     return addresses;
 }
 
+std::optional<double> peer_table::meanRequestsInProgress(utils::time_point now) const
+{
+    double requests = 0;
+    unsigned live = 0;
+    for (const auto& [name, peer] : m_peers) {
+        if (now - peer.heardAt > peerLifetime || peer.isLeaving)
+            continue;
+        ++live;
+        requests += static_cast<double>(peer.requestsInProgress);
+    }
+    return live == 0 ? std::nullopt : std::optional(requests / live);
+}
+
 std::vector<std::string> peer_table::livePeers(utils::time_point now) const
 {
     std::vector<std::string> names;
--- a/src/libs/gateway/peertable.h
+++ b/src/libs/gateway/peertable.h
@@ -5,6 +5,7 @@
 #include "utils/time.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -78,6 +79,8 @@
     std::vector<std::string> knownAddresses() const { return addressesExcept({}); }
     /// Addresses of some live peers, to be sent in a heartbeat; those that were named least come first.
     std::vector<std::string> sampleAddresses(utils::time_point now);
+    /// Requests in progress at a live peer, in the mean; nothing if there is none.
+    std::optional<double> meanRequestsInProgress(utils::time_point now) const;
     /// Names of the live peers, without this node.
     std::vector<std::string> livePeers(utils::time_point now) const;
     /// Addresses of the live peers, and of nodes named by others within `peerLifetime` that were not heard
--- a/tests/auto/decisions/tst_loopdelay.cpp
+++ b/tests/auto/decisions/tst_loopdelay.cpp
@@ -1,3 +1,4 @@
+#include "decisions/connectiongate.h"
 #include "decisions/loadshedding.h"
 #include "decisions/loopdelay.h"
 
@@ -16,6 +17,8 @@
 constexpr double stepMs = 0.55; ///< processor time of a request in one iteration: 450 requests/s in all
 constexpr int steps = 4;
 constexpr double refusalMs = 0.3;
+constexpr double closeMs = 0.1; ///< to accept a connection and close it unread
+constexpr double peerRequests = 5; ///< in progress at each other node
 constexpr utils::duration target = 300ms;
 constexpr utils::duration streamTarget = 800ms; ///< of more urgent work
 constexpr utils::duration callerTimeout = 2s;
@@ -23,17 +26,20 @@
 struct loop_outcome {
     unsigned asked = 0;
     unsigned refused = 0;
+    unsigned closed = 0; ///< unread
     unsigned inTime = 0;
     unsigned pastTimeout = 0; ///< answered later than the caller waits
-    unsigned admitted() const { return asked - refused; }
+    unsigned admitted() const { return asked - refused - closed; }
+    unsigned read() const { return asked - closed; }
 };
 
 /// The event loop of one node. In each iteration, each request in progress takes one step; what arrives
 /// meanwhile waits for the next iteration.
 class loop_simulation {
 public:
-    explicit loop_simulation(bool refuses = true)
+    explicit loop_simulation(bool refuses = true, bool closes = false)
         : m_refuses(refuses)
+        , m_closes(closes)
     {
     }
 
@@ -79,6 +85,14 @@
     void arrive(double arrivedMs, loop_outcome& outcome)
     {
         ++outcome.asked;
+        const auto iteration = utils::fromSeconds(m_lengthMs / 1000);
+        const decisions::connection_query connection { iteration * loop_delay::iterationsPerRequest,
+            m_running.size(), peerRequests, true, m_random() };
+        if (m_closes && decisions::mustCloseUnread(connection)) {
+            ++outcome.closed;
+            m_nowMs += closeMs;
+            return;
+        }
         m_shedder.recordTarget(0, streamTarget);
         decisions::shed_query query;
         query.loopDelay = m_delay.perRequest();
@@ -96,6 +110,7 @@
     }
 
     bool m_refuses;
+    bool m_closes;
     std::mt19937_64 m_random { 5 };
     load_shedder m_shedder;
     loop_delay m_delay;
@@ -127,6 +142,52 @@
     }
 }
 
+// Guards against callers whose request is read and then refused by a node that has the callers of a whole
+// region, while the other nodes are idle.
+BOOST_AUTO_TEST_CASE(what_a_node_with_all_callers_reads_is_served)
+{
+    for (const double requestsPerSecond : { 900.0, 1700.0, 3000.0 }) {
+        loop_simulation node(true, true);
+        const loop_outcome outcome = node.run(20000, requestsPerSecond);
+        BOOST_TEST_MESSAGE(requestsPerSecond << " a second: asked " << outcome.asked << ", read "
+                                             << outcome.read() << ", refused " << outcome.refused
+                                             << ", in time " << outcome.inTime);
+        BOOST_TEST(outcome.pastTimeout == 0u);
+        BOOST_TEST(outcome.refused <= outcome.read() / 4);
+        BOOST_TEST(outcome.read() > 0.25 * 450 * 20);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(iterations_are_measured_by_the_connections_they_accept)
+{
+    decisions::accept_rounds rounds;
+    const auto at = [](utils::duration time) { return utils::time_point(10s) + time; };
+    rounds.accepted(at(0ms));
+    rounds.accepted(at(500ms));
+    BOOST_TEST((rounds.iteration() == 0ms));
+    rounds.accepted(at(501ms));
+    BOOST_TEST((rounds.iteration() == 0ms));
+    rounds.accepted(at(560ms));
+    BOOST_TEST((rounds.iteration() == 60ms));
+    rounds.accepted(at(700ms));
+    BOOST_TEST((rounds.iteration() == 0ms));
+}
+
+// Guards against connections that are closed where no other node could serve the caller sooner.
+BOOST_AUTO_TEST_CASE(connections_are_accepted_while_other_nodes_are_as_busy)
+{
+    const std::uint64_t lowest = 0; // closed first
+    BOOST_TEST(decisions::mustCloseUnread({ 1s, 100, 5, true, lowest }));
+    BOOST_TEST(!decisions::mustCloseUnread({ 1s, 100, 60, true, lowest }));
+    BOOST_TEST(!decisions::mustCloseUnread({ 1s, 100, 0, false, lowest }));
+    BOOST_TEST(!decisions::mustCloseUnread({ 50ms, 100, 5, true, lowest }));
+    unsigned closed = 0;
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        closed += decisions::mustCloseUnread({ 10s, 100, 5, true, i * (~std::uint64_t(0) / 1000) }) ? 1 : 0;
+    BOOST_TEST(closed > 900u);
+    BOOST_TEST(closed < 980u);
+}
+
 // Guards against refusals by a node that can serve its callers, and by one whose overload is over.
 BOOST_AUTO_TEST_CASE(nobody_is_refused_while_there_is_processor_time)
 {
