Crashes: a server that is down crashes only once; soak with engines that crash under a part

Cause (found by the soak's proxies, which accept and close for a server that is down): each further request at a server that was down counted as another crash of it, on each node, so that after one engine's crash sound parts reached level 5. Change: what ends attempts at a server that has said nothing since its crash is no crash; a crash that several nodes see makes one link of a chain. A connection that is accepted and closed at once counts as refused in the check.

--- a/src/libs/decisions/crashingparts.cpp
+++ b/src/libs/decisions/crashingparts.cpp
@@ -72,7 +72,7 @@
 {
     unsigned highest = 0;
     for (const prompt_part& part : considered(parts)) {
-        const unsigned level = std::min(levelOf(part.id, sentAt) + 1, maxLevel);
+        const unsigned level = std::min(levelBefore(part.id, crash, sentAt, now) + 1, maxLevel);
         highest = std::max(highest, level);
         const strike_key key { part.id, crash, static_cast<std::uint8_t>(level) };
         const strike_state strike { service, now, now, false, true, newsRepeats };
@@ -236,11 +236,13 @@
     return parts;
 }
 
-unsigned crashing_parts::levelOf(std::uint64_t part, utils::time_point until) const
+unsigned crashing_parts::levelBefore(
+    std::uint64_t part, crash_key crash, utils::time_point sentAt, utils::time_point now) const
 {
     unsigned level = 0;
     for (auto it = firstOf(part); it != m_strikes.end() && it->first.part == part; ++it) {
-        if (!it->second.isCleared && it->second.learnedAt <= until)
+        const bool isSameCrash = it->first.crash == crash && now - it->second.learnedAt < sameCrashWindow;
+        if (!it->second.isCleared && it->second.learnedAt <= sentAt && !isSameCrash)
             level = std::max<unsigned>(level, it->first.level);
     }
     return level;
--- a/src/libs/decisions/crashingparts.h
+++ b/src/libs/decisions/crashingparts.h
@@ -156,8 +156,9 @@
         constexpr std::size_t maxParts = 32;
         return parts.first(std::min(parts.size(), maxParts));
     }
-    /// Highest level of the part's strikes that were learned until `until`.
-    unsigned levelOf(std::uint64_t part, utils::time_point until) const;
+    /// Highest level of the part's strikes that the request of a crash was sent in spite of.
+    unsigned levelBefore(
+        std::uint64_t part, crash_key crash, utils::time_point sentAt, utils::time_point now) const;
     part_finding findingOn(std::uint64_t part, utils::time_point now) const;
     bool isKnown(std::uint64_t part, std::uint32_t service, utils::time_point now) const;
     utils::duration termOf(unsigned level) const;
@@ -166,6 +167,8 @@
     void dropLeast();
     std::map<std::uint64_t, unsigned> recordedParts(utils::time_point now) const;
 
+    // A server needs longer to come back, and then to crash again under the same key.
+    static constexpr utils::duration sameCrashWindow = std::chrono::seconds(3);
     // A datagram may be lost, and in a large fleet reaches a few peers only.
     static constexpr unsigned newsRepeats = 3;
     static constexpr utils::duration convictionRepeatInterval = std::chrono::seconds(1);
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -47,6 +47,7 @@
     if (!m_isActive)
         return;
     m_context.silence.dataReceived(m_server, now);
+    m_context.crashedServers.erase(m_server);
     if (m_firstEventAt != utils::time_point() && now - m_firstEventAt >= soundAfter)
         recordSound(m_firstEventAt, now);
 }
--- a/src/libs/gateway/crashdirectory.cpp
+++ b/src/libs/gateway/crashdirectory.cpp
@@ -45,9 +45,10 @@
     if (attempt.hasAnswer || m_context.reachability.isCutOff(plan.service))
         co_return;
     const std::shared_ptr<server_check> checked = co_await check(attempt.server);
-    if (checked->connectError.empty())
+    if (checked->connectError.empty() || wasDown(attempt))
         co_return;
     const utils::time_point present = now();
+    m_context.crashedServers[attempt.server] = { attempt.serverStartedAtMs, present };
     const decisions::crash_key crash = decisions::crashKey(attempt.server.str(), attempt.serverStartedAtMs);
     const unsigned level = m_context.crashingParts.crashed(
         decisions::serviceKey(plan.service), plan.sharedParts(), crash, attempt.sentAt, present);
@@ -56,6 +57,13 @@
     sendNews(present);
 }
 
+bool crash_directory::wasDown(const lost_attempt& attempt) const
+{
+    const auto known = m_context.crashedServers.find(attempt.server);
+    return known != m_context.crashedServers.end() && known->second.startedAtMs == attempt.serverStartedAtMs
+        && known->second.at <= attempt.sentAt;
+}
+
 boost::asio::awaitable<std::shared_ptr<crash_directory::server_check>> crash_directory::check(
     utils::server_id server)
 {
@@ -83,6 +91,13 @@
         const auto scope = std::make_shared<stop_scope>(m_context.executor);
         check->connectError = co_await connectWithin(scope, connection, *endpoint);
         scope->finish();
+        if (check->connectError.empty()) {
+            // What accepts for a server that is down, as a balancer does, closes at once.
+            boost::asio::steady_timer timer(m_context.executor, acceptedFor);
+            co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            if (!connection->isIdleAndOpen())
+                check->connectError = "closed at once";
+        }
         connection->close();
     }
     if (!check->connectError.empty())
@@ -115,6 +130,8 @@
     m_context.crashingParts.expire(now);
     std::erase_if(
         m_checks, [now](const auto& entry) { return now - entry.second->startedAt > checkLifetime; });
+    std::erase_if(
+        m_context.crashedServers, [now](const auto& entry) { return now - entry.second.at > crashLifetime; });
     sendNews(now);
 }
 
--- a/src/libs/gateway/crashdirectory.h
+++ b/src/libs/gateway/crashdirectory.h
@@ -79,6 +79,9 @@
         std::string connectError = "no answer"; ///< empty: the server lives
     };
 
+    /// Whether the server was known to be down when the attempt was sent, and has said nothing since: it was
+    /// no crash then that ended the attempt.
+    bool wasDown(const lost_attempt& attempt) const;
     boost::asio::awaitable<std::shared_ptr<server_check>> check(utils::server_id server);
     boost::asio::awaitable<void> probe(utils::server_id server, std::shared_ptr<server_check> check);
     bool isFirstToTry(std::uint64_t part, utils::time_point now) const;
@@ -87,10 +90,12 @@
 
     // A connection is opened within some 10 ms where there is a server.
     static constexpr utils::duration checkTimeout = std::chrono::milliseconds(100);
+    static constexpr utils::duration acceptedFor = std::chrono::milliseconds(20);
     // Connections of one crash end within milliseconds of each other; a crashed server needs seconds.
     static constexpr utils::duration checkLifetime = std::chrono::milliseconds(300);
     // The first node's request has ended by then, and its news has arrived.
     static constexpr utils::duration otherNodesTryAfter = std::chrono::seconds(5);
+    static constexpr utils::duration crashLifetime = std::chrono::minutes(1);
     // Two datagrams.
     static constexpr std::size_t newsPerTick = 2 * crash_message::maxStrikes;
 
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -35,6 +35,12 @@
 
 namespace gateway {
 
+/// A crash of a backend server that this node has seen.
+struct seen_crash {
+    std::uint64_t startedAtMs = 0; ///< of the server
+    utils::time_point at {};
+};
+
 /// The state shared by the components of a node. Not thread safe.
 struct node_context {
     node_context(boost::asio::any_io_executor ioExecutor, node_options nodeOptions);
@@ -59,6 +65,7 @@
     decisions::loop_delay loopDelay; ///< of this node's event loop
     decisions::poison_register poison;
     decisions::crashing_parts crashingParts;
+    std::map<utils::server_id, seen_crash> crashedServers; ///< that have said nothing since
     std::map<std::string, decisions::repeat_allowance> repeats; ///< by service
     connection_pool pool;
     node_metrics metrics;
--- a/tests/auto/decisions/tst_crashingparts.cpp
+++ b/tests/auto/decisions/tst_crashingparts.cpp
@@ -63,6 +63,18 @@
     BOOST_TEST((verdictOn(parts, 1, 200ms) == part_verdict::Sound));
 }
 
+// Guards against a server that stays down behind a balancer, and gets parts refused by each further request.
+BOOST_AUTO_TEST_CASE(a_crash_that_several_nodes_see_makes_one_link)
+{
+    crashing_parts parts;
+    for (unsigned i = 0; i < 5; ++i)
+        parts.crashed(service, prompt, 1, at(i * 100ms + 1ms), at((i + 1) * 100ms));
+    BOOST_TEST(parts.check(prompt, at(500ms)).level == 1u);
+    // The server is back under its key.
+    parts.crashed(service, prompt, 1, at(5s), at(6s));
+    BOOST_TEST(parts.check(prompt, at(6s)).level == 2u);
+}
+
 // Guards against a sound part that is refused because it is used beside a crashing one.
 BOOST_AUTO_TEST_CASE(an_answer_clears_what_was_known_when_it_began)
 {
--- a/tests/auto/gateway/tst_crashingparts.cpp
+++ b/tests/auto/gateway/tst_crashingparts.cpp
@@ -61,9 +61,9 @@
         for (std::size_t i = 0; i < engines; ++i)
             engine(i).crashOn(parts, answer);
     }
-    unsigned crashes()
+    std::size_t crashes()
     {
-        unsigned total = 0;
+        std::size_t total = 0;
         for (std::size_t i = 0; i < engines; ++i)
             total += engine(i).crashes();
         return total;
@@ -161,7 +161,7 @@
     crashing_testbed world;
     world.crashOn({ crashingPart, "bad2" });
     world.play(path, { "a1", crashingPart, "c1" }, { "a1", "c1" });
-    const unsigned first = world.crashes();
+    const std::size_t first = world.crashes();
     BOOST_TEST(first <= maxCrashes);
     const share_served sound = world.play(path, { "a1", "bad2", "c1" }, { "a1", "c1" });
     BOOST_TEST(world.crashes() - first <= maxCrashes);
@@ -174,7 +174,7 @@
     crashing_testbed world;
     world.crashOn({ crashingPart });
     world.play(path, { "a1", crashingPart, "c1" }, { "a1", "c1" });
-    const unsigned before = world.crashes();
+    const std::size_t before = world.crashes();
     BOOST_TEST(before <= maxCrashes);
     world.awaitRecord();
     for (unsigned kills = 0; kills < 3; ++kills) {
@@ -190,7 +190,7 @@
     crashing_testbed world;
     world.crashOn({ crashingPart });
     world.play(path, { "a1", crashingPart, "c1" }, { "a1", "c1" });
-    const unsigned before = world.crashes();
+    const std::size_t before = world.crashes();
     world.awaitReady(world.startNode());
     BOOST_TEST(world.ask(nodes, path, { "a1", crashingPart }).status == 503);
     BOOST_TEST(world.crashes() == before);
@@ -231,4 +231,18 @@
     BOOST_TEST(sound.share() >= minServed);
 }
 
+// Guards against connections that break, with their servers alive, and get a part refused.
+BOOST_AUTO_TEST_CASE(connections_that_break_are_no_crashes)
+{
+    crashing_testbed world;
+    for (std::size_t i = 0; i < engines; ++i)
+        world.engine(i).act(platform_standin::replica_act::Cut);
+    for (unsigned i = 0; i < crashingRequests; ++i)
+        BOOST_TEST(world.ask(i % nodes, path, { "a1", "c1" }).status == 502);
+    for (std::size_t i = 0; i < engines; ++i)
+        world.engine(i).act(platform_standin::replica_act::Stream);
+    for (std::size_t i = 0; i < nodes; ++i)
+        BOOST_TEST(world.isServed(i, { "a1", "c1" }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 #include <thread>
 
 namespace soak {
@@ -28,6 +29,9 @@
 constexpr unsigned mostResumptions = 3; // of one stream
 constexpr std::uint64_t secondKey = 4; // one request in so many uses the key that is taken away at times
 
+constexpr std::uint64_t crashes = 8; // one prompt in so many has the part under which engines crash at times
+constexpr std::uint64_t documents = 6; // other parts in its place
+
 struct call_shape {
     call_kind kind;
     http::verb method;
@@ -52,6 +56,18 @@
         request.set("Last-Event-Id", std::to_string(call.resumedAfter));
         request.set("Resumes", call.resumes);
     }
+    if (shape.path.starts_with("/chat/") || shape.path.starts_with("/draft/")) {
+        const std::uint64_t own = utils::hash64(call.id);
+        std::ostringstream parts;
+        parts << "a1:100," << std::hex;
+        if (call.hasCrashingPart)
+            parts << crashingPart;
+        else
+            parts << "d" << own % documents;
+        parts << ":100," << own << ":50";
+        request.set("Lycheefront-Prompt-Prefix", parts.str());
+        request.set("Lycheefront-Token-Usage", "250,30");
+    }
     if (shape.method == http::verb::post)
         request.body() = call.id;
     request.prepare_payload();
@@ -160,6 +176,9 @@
     call_record call;
     call.kind = shapes.at(draw(shapes.size())).kind;
     call.usesSecondKey = draw(secondKey) == 0;
+    const bool isPrompt = call.kind == call_kind::Chat || call.kind == call_kind::Draft;
+    call.hasCrashingPart
+        = isPrompt && utils::hash64(m_name + "-" + std::to_string(m_calls.size())) % crashes == 0;
     const duration wait = draw(givesUp) == 0 ? shortPatience : patience;
     if (send(call, wait) && call.kind == call_kind::Chat)
         resumeLast();
@@ -174,6 +193,7 @@
         call_record call;
         call.kind = began.kind;
         call.usesSecondKey = began.usesSecondKey;
+        call.hasCrashingPart = began.hasCrashingPart;
         call.resumes = began.id;
         call.resumedAfter = had;
         if (!send(call, patience))
--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t toleratedMixed = 2; // streams of two versions; the platform counts them from the third
 constexpr std::size_t fewestResumed = 12; // streams taken up, before the platform looks at their share
 constexpr double smallestShareOfNew = 0.5; // that go on, against the share of new streams that begin
+constexpr std::size_t decisiveCrashes = 5; // under one part, after which its requests must stop
+constexpr std::size_t toleratedAfterCrashes = 3; // requests with it that reach servers later
 constexpr duration knownAfter = std::chrono::seconds(1); // an engine that has just been announced
 
 bool mayRepeat(call_kind kind)
@@ -101,8 +103,10 @@
         for (service_traffic& traffic : m_traffic)
             checkRetries(traffic);
         checkVersions();
-        if (m_bounds)
+        if (m_bounds) {
             checkResumed();
+            checkCrashingPart();
+        }
         for (const std::string& node : m_evidence.ownEnds)
             m_broken.push_back(node + " ended by itself");
         for (const std::string& node : m_evidence.notRecovered)
@@ -168,6 +172,36 @@
         }
     }
 
+    /// Once five engines have crashed under a part, nodes in touch send its requests to no engine any more.
+    void checkCrashingPart()
+    {
+        std::vector<time_point> crashes = m_evidence.partCrashes;
+        if (crashes.size() < decisiveCrashes)
+            return;
+        std::ranges::sort(crashes);
+        const time_point from = crashes[decisiveCrashes - 1] + m_bounds->outOfTouch;
+        const auto isLate = [&](const arrival& each) {
+            const auto call = m_calls.find(each.request.id);
+            return call != m_calls.end() && call->second->hasCrashingPart && each.request.arrivedAt > from
+                && each.request.arrivedAt < m_evidence.partCrashesUntil
+                && isInTouch(call->second->node, each.request.arrivedAt);
+        };
+        const auto late = static_cast<std::size_t>(std::ranges::count_if(m_evidence.arrivals, isLate));
+        if (late <= toleratedAfterCrashes)
+            return;
+        for (const arrival& each : m_evidence.arrivals) {
+            if (isLate(each))
+                breaks(each.request.id,
+                    "reached " + each.server + " "
+                        + std::to_string(
+                            std::chrono::duration_cast<duration>(each.request.arrivedAt - from).count())
+                        + " ms too late");
+        }
+        m_broken.push_back(std::to_string(late)
+            + " requests with one part reached engines after five had crashed under it; "
+            + std::to_string(crashes.size()) + " crashed in all");
+    }
+
     /// All events of a stream, over its caller's tries, come from servers of one version.
     void checkVersions()
     {
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -40,10 +40,14 @@
     std::string answeredId; ///< that the answer names
     std::string body; ///< as far as it came
     std::string resumes {}; ///< the call that brought the first event of the stream; empty: takes none up
+    bool hasCrashingPart = false; ///< in its prompt
     unsigned resumedAfter = 0; ///< the last event that the caller had before
     std::vector<std::string> versions {}; ///< software versions of the servers that wrote the events
 };
 
+/// The part of prompts under which engines crash at times, in hexadecimal.
+inline constexpr std::string_view crashingPart = "bad";
+
 /// Moves the types of the events, which name the versions that wrote them, out of the body. Thread safe.
 void takeVersions(call_record& call);
 /// The last whole event in the body of a stream; 0: there is none. Thread safe.
@@ -78,6 +82,8 @@
     std::map<std::string, std::string> dataCentres; ///< of each backend server
     std::map<std::string, std::vector<span>> evacuated; ///< by data centre, as the store had it
     std::map<std::string, engine_life> engines;
+    std::vector<time_point> partCrashes; ///< of engines that began to answer a prompt with the crashing part
+    time_point partCrashesUntil {}; ///< when the part became sound
     std::vector<span> withoutSecondKey; ///< from the store's knowing to its knowing better
     std::string wholeStream; ///< the body of a stream from its first event to its last
     std::vector<std::string> ownEnds; ///< nodes that ended though nobody ended them
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -74,6 +74,8 @@
         return takeKeyAway(fault.lasts);
     case fault_kind::EnginesReleased:
         return releaseEngines(fault);
+    case fault_kind::PartCrashesEngines:
+        return crashUnderPart(fault.lasts);
     case fault_kind::ConfigurationChanges:
         return m_world.configure(++m_version, m_keysTaken == 0);
     case fault_kind::DataCentreEvacuated:
@@ -104,6 +106,23 @@
     }
 }
 
+void soak_run::crashUnderPart(duration lasts)
+{
+    const auto setParts = [this](bool isCrashing) {
+        m_isPartCrashing = isCrashing;
+        std::set<std::string> parts;
+        if (isCrashing)
+            parts.insert(std::string(crashingPart));
+        for (std::size_t server = m_size.servers; server < m_serving.size(); ++server)
+            m_servers[m_serving[server]]->crashOn(parts);
+    };
+    setParts(true);
+    until(lasts, [this, setParts] {
+        setParts(false);
+        m_evidence.partCrashesUntil = now();
+    });
+}
+
 void soak_run::cutOffNode(const planned_fault& fault)
 {
     ++m_cuts;
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 21> kinds { {
+constexpr std::array<std::pair<fault_kind, std::string_view>, 22> kinds { {
     { fault_kind::KillNode, "kill_node" },
     { fault_kind::PauseNode, "pause_node" },
     { fault_kind::StopNode, "stop_node" },
@@ -31,10 +31,11 @@
     { fault_kind::FleetKilled, "fleet_killed" },
     { fault_kind::ServiceFails, "service_fails" },
     { fault_kind::EnginesReleased, "engines_released" },
+    { fault_kind::PartCrashesEngines, "part_crashes_engines" },
 } };
 
 // The last kinds are drawn apart, so that a seed from before them has the faults that it had.
-constexpr std::size_t drawnKinds = kinds.size() - 6;
+constexpr std::size_t drawnKinds = kinds.size() - 7;
 constexpr std::uint64_t evacuationSalt = 0x9e3779b97f4a7c15;
 constexpr int mostEvacuations = 2;
 constexpr std::uint64_t pathSalt = 0xc2b2ae3d27d4eb4f;
@@ -49,6 +50,8 @@
 constexpr int longestDown = 600; // ms, of a killed fleet
 constexpr std::uint64_t releaseSalt = 0x27d4eb2f165667c5;
 constexpr int mostReleases = 2;
+constexpr std::uint64_t crashSalt = 0x85ebca77c2b2ae63;
+constexpr int partCrashesOneIn = 2; // seeds
 constexpr auto evacuationLead = std::chrono::seconds(5); // until no request may arrive any more
 // One group of faults begins each second or so: with lengths up to four seconds two or three overlap.
 constexpr auto meanPause = std::chrono::milliseconds(900);
@@ -135,6 +138,19 @@
     }
 }
 
+/// Engines crash under a part of prompts from early on to the end.
+void addCrashingPart(std::vector<planned_fault>& plan, std::uint64_t seed, duration end)
+{
+    std::mt19937_64 random(seed ^ crashSalt);
+    if (random() % partCrashesOneIn != 0)
+        return;
+    const int latest = static_cast<int>(end.count()) / 4;
+    planned_fault fault = drawFault(random, duration(drawBetween(random, 0, latest)));
+    fault.kind = fault_kind::PartCrashesEngines;
+    fault.lasts = end;
+    plan.push_back(fault);
+}
+
 } // namespace
 
 std::string_view toString(fault_kind kind)
@@ -163,6 +179,7 @@
     addLostPaths(plan, seed, end);
     addKilledFleets(plan, seed, end);
     addReleases(plan, seed, end);
+    addCrashingPart(plan, seed, end);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -31,6 +31,7 @@
     FleetKilled, ///< all nodes, or all but one, as KillNode
     ServiceFails, ///< all backend servers of a service reject or cut what they get
     EnginesReleased, ///< one engine after another is replaced by one of a new version; some or all
+    PartCrashesEngines, ///< engines crash when they begin to answer prompts with a certain part
     DataCentreEvacuated, ///< half of the backend servers may get nothing; they are cold at the end
 };
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -147,6 +147,8 @@
         m_servers.back()->act(replica_act::Stream);
         const std::string version = "v" + std::to_string(m_engineVersions[server - m_size.servers]);
         m_servers.back()->setEventType(version);
+        if (m_isPartCrashing)
+            m_servers.back()->crashOn({ std::string(crashingPart) });
         m_evidence.engines[id] = { version, now() };
     }
     m_evidence.dataCentres[id] = dataCentreOf(server);
@@ -249,6 +251,8 @@
 void soak_run::collect()
 {
     for (const auto& server : m_servers) {
+        const std::vector<time_point> crashes = server->crashTimes();
+        m_evidence.partCrashes.insert(m_evidence.partCrashes.end(), crashes.begin(), crashes.end());
         for (platform_standin::replica_request& request : server->requests())
             m_evidence.arrivals.push_back({ server->id(), std::move(request) });
     }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -64,6 +64,7 @@
     /// The server drains and leaves, and another one takes its place.
     void leave(std::size_t server);
     void releaseEngines(const planned_fault& fault);
+    void crashUnderPart(duration lasts);
     void announce(std::size_t server, const std::string& state, duration coldFor = {});
     void until(duration lasts, std::function<void()> undo);
     void faultOnNode(std::size_t node, duration lasts);
@@ -91,6 +92,7 @@
     std::vector<unsigned> m_engineVersions; ///< of the software, by the engine's place
     unsigned m_newestEngines = 1; ///< the highest one of these
     std::map<std::string, unsigned> m_evacuations; ///< in force now, by data centre
+    bool m_isPartCrashing = false; ///< engines crash under it now
     unsigned m_keysTaken = 0; ///< faults that keep the second key away now
     soak_evidence m_evidence;
 };
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -233,6 +233,26 @@
     BOOST_TEST(brokenCount(evidence) == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(requests_with_a_crashing_part_that_go_on_are_seen)
+{
+    soak_evidence evidence = soundEvidence();
+    for (unsigned i = 0; i < 5; ++i)
+        evidence.partCrashes.push_back(start + i * 1s);
+    evidence.partCrashesUntil = start + 30s;
+    for (unsigned i = 0; i < 5; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        soak::call_record call = chatCall(id, {});
+        call.hasCrashingPart = true;
+        call.status = 502;
+        evidence.calls.push_back(call);
+        // One is in time, and three may be late.
+        evidence.arrivals.push_back(runAt("engine-1", id, start + 4s + (i == 0 ? 4s : 6s)));
+        BOOST_TEST(brokenCount(evidence) == (i < 4 ? 0u : 5u)); // each arrival, and their number
+    }
+    evidence.nodeFaults[0].push_back({ start + 9s, start + 10s });
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(last_event_is_the_last_whole_one)
 {
     const std::string body = platform_standin::eventsUpTo(12);
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -116,10 +116,10 @@
     boost::asio::post(m_thread.io(), [this] { restart(); });
 }
 
-unsigned replica_standin::crashes() const
+std::vector<std::chrono::steady_clock::time_point> replica_standin::crashTimes() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_crashes;
+    return m_crashTimes;
 }
 
 bool replica_standin::isCrashing(const replica_request& request) const
@@ -145,7 +145,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        ++m_crashes;
+        m_crashTimes.push_back(std::chrono::steady_clock::now());
     }
     m_listener->close();
     boost::asio::co_spawn(m_thread.io(), comeBack(), boost::asio::detached);
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -80,8 +80,9 @@
     void crashOn(std::set<std::string> parts, crash_answer answer = crash_answer::None);
     /// Ends with all connections as in a crash, and is back after a while.
     void crash();
-    /// How often it has crashed.
-    unsigned crashes() const;
+    /// When it has crashed.
+    std::vector<std::chrono::steady_clock::time_point> crashTimes() const;
+    std::size_t crashes() const { return crashTimes().size(); }
     /// All requests that reached it.
     std::vector<replica_request> requests() const;
     std::size_t requestCount() const { return requests().size(); }
@@ -118,7 +119,7 @@
     unsigned m_abandoned = 0;
     std::set<std::string> m_crashingParts;
     crash_answer m_crashAnswer = crash_answer::None;
-    unsigned m_crashes = 0;
+    std::vector<std::chrono::steady_clock::time_point> m_crashTimes;
     std::vector<replica_request> m_requests;
 };
 
