--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -116,10 +116,12 @@
         logPartsCleared(m_plan, m_server, level);
 }
 
-lost_attempt attempt_tracker::lost(utils::time_point now) const
+lost_attempt attempt_tracker::lost(const std::string& requestId, utils::time_point now) const
 {
     const bool hasAnswer = m_firstEventAt != utils::time_point() && now - m_firstEventAt >= soundAfter;
-    return { m_server, m_candidate.startedAtMs, m_sentAt, hasAnswer };
+    const auto parts = m_plan.sharedParts();
+    return { requestId, m_plan.service, { parts.begin(), parts.end() }, m_plan.digest, m_server,
+        m_candidate.startedAtMs, m_sentAt, hasAnswer };
 }
 
 void attempt_tracker::learnOccupancy(bool isShort, utils::time_point now)
--- a/src/libs/gateway/attempttracker.h
+++ b/src/libs/gateway/attempttracker.h
@@ -5,8 +5,12 @@
 
 namespace gateway {
 
-/// An attempt that was sent and ended without its answer.
+/// An attempt that was sent and ended without its answer, with what it may be counted against.
 struct lost_attempt {
+    std::string requestId;
+    std::string service;
+    std::vector<decisions::prompt_part> sharedParts;
+    decisions::body_digest digest;
     utils::server_id server;
     std::uint64_t serverStartedAtMs = 0;
     utils::time_point sentAt {};
@@ -47,7 +51,7 @@
     utils::time_point timeoutAt(utils::duration limit, utils::time_point now) const;
 
     /// The last attempt, as it stands at `now`.
-    lost_attempt lost(utils::time_point now) const;
+    lost_attempt lost(const std::string& requestId, utils::time_point now) const;
 
     /// Returns the time since data of the response arrived, or since the request was sent; zero before that.
     utils::duration silentFor(utils::time_point now) const;
--- a/src/libs/gateway/crashdirectory.cpp
+++ b/src/libs/gateway/crashdirectory.cpp
@@ -38,11 +38,10 @@
     return admitted;
 }
 
-boost::asio::awaitable<void> crash_directory::attemptLost(
-    const client_request& request, const request_plan& plan, const lost_attempt& attempt)
+boost::asio::awaitable<void> crash_directory::attemptLost(lost_attempt attempt)
 {
     // The loss of this node's own path is no failure of the server.
-    if (attempt.hasAnswer || m_context.reachability.isCutOff(plan.service))
+    if (attempt.hasAnswer || m_context.reachability.isCutOff(attempt.service))
         co_return;
     const std::shared_ptr<server_check> checked = co_await check(attempt.server);
     if (checked->connectError.empty() || wasDown(attempt))
@@ -51,9 +50,9 @@
     m_context.crashedServers[attempt.server] = { attempt.serverStartedAtMs, present };
     const decisions::crash_key crash = decisions::crashKey(attempt.server.str(), attempt.serverStartedAtMs);
     const unsigned level = m_context.crashingParts.crashed(
-        decisions::serviceKey(plan.service), plan.sharedParts(), crash, attempt.sentAt, present);
-    m_context.poison.crashed(crash, { plan.digest }, present, false);
-    logCrash(request, plan, { attempt.server, level, checked->connectError });
+        decisions::serviceKey(attempt.service), attempt.sharedParts, crash, attempt.sentAt, present);
+    m_context.poison.crashed(crash, { attempt.digest }, present, false);
+    logCrash(attempt, level, checked->connectError);
     sendNews(present);
 }
 
--- a/src/libs/gateway/crashdirectory.h
+++ b/src/libs/gateway/crashdirectory.h
@@ -57,8 +57,7 @@
 
     /// Records that an attempt that was sent ended without its answer: it counts against the request if the
     /// answer had not begun and the server has crashed. Takes at most `checkTimeout`.
-    boost::asio::awaitable<void> attemptLost(
-        const client_request& request, const request_plan& plan, const lost_attempt& attempt);
+    boost::asio::awaitable<void> attemptLost(lost_attempt attempt);
 
     /// Handles a peer's datagram.
     void onMessage(const crash_message& message);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -16,6 +16,8 @@
 
 #include "wire/connect.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <set>
@@ -244,13 +246,25 @@
         m_result.lastOutcome = co_await tryServer(placement->server);
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
-        if (m_result.lastOutcome == attempt_outcome::Cut || m_result.lastOutcome == attempt_outcome::Silent)
-            co_await m_crashes.attemptLost(m_request, m_plan, m_tracker.lost(now()));
         m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
         m_record.add(m_result.lastOutcome);
+        if (m_result.lastOutcome == attempt_outcome::Cut || m_result.lastOutcome == attempt_outcome::Silent)
+            co_await recordLoss();
         co_return true;
     }
 
+    /// Finds out whether the server has crashed under the request. A retry must know that, the final error of
+    /// this request must not wait for it.
+    boost::asio::awaitable<void> recordLoss()
+    {
+        lost_attempt attempt = m_tracker.lost(m_request.requestId, now());
+        if (m_record.mayRetry())
+            co_await m_crashes.attemptLost(std::move(attempt));
+        else
+            boost::asio::co_spawn(
+                m_context.executor, m_crashes.attemptLost(std::move(attempt)), boost::asio::detached);
+    }
+
     std::string versionOf(const utils::server_id& server) const
     {
         const catalogue::backend_server* entry = m_context.servers.find(server);
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -1,5 +1,6 @@
 #include "requestlog.h"
 
+#include "attempttracker.h"
 #include "flowresult.h"
 
 #include "utils/eventlog.h"
@@ -136,12 +137,12 @@
     utils::logEvent(utils::event::AttemptFailed, fields);
 }
 
-void logCrash(const client_request& request, const request_plan& plan, const logged_crash& crash)
+void logCrash(const lost_attempt& attempt, unsigned level, const std::string& connectError)
 {
     utils::logEvent(utils::event::ServerCrashed,
-        { { "server", crash.server.str() }, { "service", plan.service }, { "request", request.requestId },
-            { "shared_parts", partsText(plan.sharedParts()) }, { "level", std::to_string(crash.level) },
-            { "connect", crash.connectError } });
+        { { "server", attempt.server.str() }, { "service", attempt.service },
+            { "request", attempt.requestId }, { "shared_parts", partsText(attempt.sharedParts) },
+            { "level", std::to_string(level) }, { "connect", connectError } });
 }
 
 void logPartsCleared(const request_plan& plan, const utils::server_id& server, unsigned level)
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -11,6 +11,7 @@
 namespace gateway {
 
 struct flow_result;
+struct lost_attempt;
 
 /// What is logged of an attempt that brought no response to the caller.
 struct failed_attempt {
@@ -30,20 +31,14 @@
     utils::duration viewBehind {}; ///< time since changes were known to be missing then
 };
 
-/// What is logged of a crash that counts against a request.
-struct logged_crash {
-    utils::server_id server;
-    unsigned level = 0; ///< highest one of the request's parts, see decisions::part_strike
-    std::string connectError; ///< why the server counts as crashed
-};
-
 /// Logs how a request ended and the values that decided it.
 void logRequest(const node_context& context, const client_request& request, const request_plan& plan,
     const flow_result& result, utils::time_point now);
 /// Logs an attempt that failed, whether or not the request is retried.
 void logFailedAttempt(const client_request& request, const failed_attempt& attempt);
-/// Logs a crash of a server under a request that had no answer yet.
-void logCrash(const client_request& request, const request_plan& plan, const logged_crash& crash);
+/// Logs that a crash counts against the request of an attempt. `level`: the highest one of its parts, see
+/// decisions::part_strike. `connectError`: why the server counts as crashed.
+void logCrash(const lost_attempt& attempt, unsigned level, const std::string& connectError);
 /// Logs that an answer from that server has cleared the shared parts of its prompt. `level`: the highest that
 /// was cleared.
 void logPartsCleared(const request_plan& plan, const utils::server_id& server, unsigned level);
