--- a/src/libs/decisions/crashingparts.h
+++ b/src/libs/decisions/crashingparts.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace decisions {
@@ -145,7 +146,10 @@
         std::uint64_t part = 0;
         crash_key crash = 0;
         std::uint8_t level = 1;
-        auto operator<=>(const strike_key&) const = default;
+        bool operator<(const strike_key& other) const
+        {
+            return std::tie(part, crash, level) < std::tie(other.part, other.crash, other.level);
+        }
     };
     struct strike_state {
         std::uint32_t service = 0;
--- a/tests/auto/decisions/crashhistory.h
+++ b/tests/auto/decisions/crashhistory.h
@@ -382,7 +382,8 @@
     {
         history_result result;
         unsigned from = 0;
-        for (const auto& [part, times] : m_crashesOf) {
+        for (const auto& [part, crashes] : m_crashesOf) {
+            const std::vector<unsigned>& times = crashes;
             result.crashes += times.size();
             result.mostCrashes = std::max<unsigned>(result.mostCrashes, times.size());
             from = std::max(from, times[std::min<std::size_t>(times.size(), 5) - 1] + 2 * contactMs);
