The record of crashing parts is written for the parts it names alone

Cause (read): nodes may know other levels and companions of a part, and each would have replaced the record of the other, a write a second. Change: it is out of date where it names other parts. Test: a_record_keeps_convictions_over_a_restart.

--- a/src/libs/decisions/crashingparts.cpp
+++ b/src/libs/decisions/crashingparts.cpp
@@ -212,7 +212,10 @@
 std::optional<std::string> crashing_parts::missingRecord(utils::time_point now) const
 {
     const record_map parts = recordedParts(now);
-    return parts == m_record ? std::nullopt : std::optional(encodeRecord(parts));
+    // Nodes may know different levels and companions of a part; they must not overwrite each other for that.
+    const auto partOf = [](const auto& entry) { return entry.first; };
+    const bool hasSameParts = std::ranges::equal(parts, m_record, {}, partOf, partOf);
+    return hasSameParts ? std::nullopt : std::optional(encodeRecord(parts));
 }
 
 std::size_t crashing_parts::refused(utils::time_point now) const
--- a/src/libs/decisions/crashingparts.h
+++ b/src/libs/decisions/crashingparts.h
@@ -129,8 +129,8 @@
     /// Takes the record in the store, at that revision of the store; nothing if it was removed. Older ones
     /// are ignored.
     void applyRecord(const std::optional<std::string>& record, std::uint64_t revision, utils::time_point now);
-    /// Returns the text of the record that the store should hold; nothing if it holds that. It lists the
-    /// parts that are refused.
+    /// Returns the text of the record that the store should hold; nothing if it names the same parts. It
+    /// lists the parts that are refused.
     std::optional<std::string> missingRecord(utils::time_point now) const;
     /// Revision of the store at the last change of the record that was taken; 0: there was none.
     std::uint64_t recordRevision() const { return m_revision; }
@@ -204,7 +204,6 @@
     struct recorded_part {
         unsigned level = 0;
         std::uint64_t companion = 0;
-        bool operator==(const recorded_part&) const = default;
     };
     using record_map = std::map<std::uint64_t, recorded_part>; ///< by part
 
--- a/tests/auto/decisions/tst_crashingparts.cpp
+++ b/tests/auto/decisions/tst_crashingparts.cpp
@@ -208,6 +208,9 @@
     after.applyRecord(record, 5, at(1s));
     BOOST_TEST((verdictOnPrompt(after, 1s) == part_verdict::Crashing));
     BOOST_TEST(!after.missingRecord(at(1s)).has_value());
+    // Nodes that know other levels do not write in turn.
+    crashInRow(before, 5);
+    BOOST_TEST(!before.missingRecord(at(1s)).has_value());
     // An answer on trial clears the part, also in the record.
     after.answered(service, prompt, at(62s), at(63s));
     BOOST_TEST(after.missingRecord(at(63s)).value_or("missing").empty());
