--- a/tests/standins/common/httplistener.cpp
+++ b/tests/standins/common/httplistener.cpp
@@ -29,7 +29,7 @@
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_acceptor.bind(address);
     m_acceptor.listen();
-    asio::co_spawn(m_context, acceptAll(), asio::detached);
+    asio::co_spawn(m_context, acceptAll(shared_from_this()), asio::detached);
     return m_acceptor.local_endpoint().port();
 }
 
@@ -42,22 +42,23 @@
     m_sockets.clear();
 }
 
-asio::awaitable<void> http_listener::acceptAll()
+asio::awaitable<void> http_listener::acceptAll(std::shared_ptr<http_listener> self)
 {
-    const auto self = shared_from_this();
     while (true) {
-        auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
-        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+        auto [error, socket] = co_await self->m_acceptor.async_accept(asTuple);
+        if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
             co_return;
-        if (!error)
-            asio::co_spawn(m_context, serve(std::make_shared<tcp_socket>(std::move(socket))), asio::detached);
+        if (error)
+            continue;
+        auto accepted = std::make_shared<tcp_socket>(std::move(socket));
+        asio::co_spawn(self->m_context, serve(self, std::move(accepted)), asio::detached);
     }
 }
 
-asio::awaitable<void> http_listener::serve(std::shared_ptr<tcp_socket> socket)
+asio::awaitable<void> http_listener::serve(
+    std::shared_ptr<http_listener> self, std::shared_ptr<tcp_socket> socket)
 {
-    const auto self = shared_from_this();
-    m_sockets.insert(socket);
+    self->m_sockets.insert(socket);
     boost::system::error_code ignored;
     socket->set_option(asio::ip::tcp::no_delay(true), ignored);
     boost::beast::flat_buffer buffer;
@@ -69,10 +70,10 @@
         if (error)
             break;
         http_request request = parser.release();
-        goesOn = co_await m_handler(request, *socket);
+        goesOn = co_await self->m_handler(request, *socket);
     }
     socket->close(ignored);
-    m_sockets.erase(socket);
+    self->m_sockets.erase(socket);
 }
 
 unsigned short listenHttp(asio::io_context& context, unsigned short port, http_handler handler)
--- a/tests/standins/common/httplistener.h
+++ b/tests/standins/common/httplistener.h
@@ -39,8 +39,10 @@
     void close();
 
 private:
-    boost::asio::awaitable<void> acceptAll();
-    boost::asio::awaitable<void> serve(std::shared_ptr<tcp_socket> socket);
+    // The coroutines keep the listener, which nobody else may hold before they start.
+    static boost::asio::awaitable<void> acceptAll(std::shared_ptr<http_listener> self);
+    static boost::asio::awaitable<void> serve(
+        std::shared_ptr<http_listener> self, std::shared_ptr<tcp_socket> socket);
 
     boost::asio::io_context& m_context;
     http_handler m_handler;
