Cleared parts are told at once; an answer clears crashes whose news comes later

Change: clearing a part of level two or more is told at once; a strike whose crash lies before an answer that began here is cleared on arrival.

--- a/src/libs/decisions/crashingparts.cpp
+++ b/src/libs/decisions/crashingparts.cpp
@@ -88,7 +88,7 @@
     for (const prompt_part& part : considered(parts)) {
         const std::uint64_t answer = utils::combineHashes(part.id, service);
         if (m_answered.size() < m_limits.maxAnswered || m_answered.contains(answer))
-            m_answered[answer] = now;
+            m_answered[answer] = std::min(beganAt, now);
         for (auto it = m_strikes.lower_bound({ part.id, 0, 0 });
              it != m_strikes.end() && it->first.part == part.id; ++it) {
             strike_state& strike = it->second;
@@ -162,8 +162,13 @@
         if (now >= expiryOf(key, strike))
             continue;
         const auto [known, isNew] = m_strikes.try_emplace(key, strike);
-        if (isNew)
+        if (isNew) {
+            // The news may come later than an answer that began after the crash.
+            const auto answered = m_answered.find(utils::combineHashes(received.part, received.service));
+            known->second.isCleared
+                = received.isCleared || (answered != m_answered.end() && answered->second > strike.at);
             continue;
+        }
         if (received.isCleared && !known->second.isCleared) {
             known->second.isCleared = true;
             known->second.sendsLeft = newsRepeats;
--- a/src/libs/decisions/crashingparts.h
+++ b/src/libs/decisions/crashingparts.h
@@ -224,7 +224,7 @@
 
     crashing_part_limits m_limits;
     strike_map m_strikes;
-    /// Last answer that began with a part at a service, by the hash of both.
+    /// When the last answer with a part began at a service, by the hash of both.
     std::map<std::uint64_t, utils::time_point> m_answered;
     utils::time_point m_repeatedAt {};
     record_map m_record; ///< as in the store
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -112,8 +112,12 @@
         return;
     const unsigned level = m_context.crashingParts.answered(
         decisions::serviceKey(m_plan.service), m_plan.sharedParts(), beganAt, now);
-    if (level > 1)
-        logPartsCleared(m_plan, m_server, level);
+    if (level <= 1)
+        return;
+    logPartsCleared(m_plan, m_server, level);
+    // Peers must hear of it before the next crash makes the chain longer.
+    if (m_context.onPartsCleared)
+        m_context.onPartsCleared();
 }
 
 lost_attempt attempt_tracker::lost(const std::string& requestId, utils::time_point now) const
--- a/src/libs/gateway/crashdirectory.cpp
+++ b/src/libs/gateway/crashdirectory.cpp
@@ -18,6 +18,12 @@
 
 namespace gateway {
 
+void crash_directory::start(send_function send)
+{
+    m_send = std::move(send);
+    m_context.onPartsCleared = [this] { sendNews(now()); };
+}
+
 admitted_request crash_directory::admit(const request_plan& plan, std::uint64_t number, utils::time_point now)
 {
     using enum decisions::part_verdict;
--- a/src/libs/gateway/crashdirectory.h
+++ b/src/libs/gateway/crashdirectory.h
@@ -47,7 +47,7 @@
     }
 
     /// Sets how datagrams are sent. To be called before anything else.
-    void start(send_function send) { m_send = std::move(send); }
+    void start(send_function send);
 
     /// Decides on a request before each attempt, and again right before it is sent. `number` identifies it on
     /// this node; finished() ends what a decision has given it.
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -29,6 +29,7 @@
 #include "utils/errorkind.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -66,6 +67,7 @@
     decisions::poison_register poison;
     decisions::crashing_parts crashingParts;
     std::map<utils::server_id, seen_crash> crashedServers; ///< that have said nothing since
+    std::function<void()> onPartsCleared; ///< sends the news of crashing parts to peers; may be empty
     std::map<std::string, decisions::repeat_allowance> repeats; ///< by service
     connection_pool pool;
     node_metrics metrics;
--- a/tests/auto/decisions/tst_crashingparts.cpp
+++ b/tests/auto/decisions/tst_crashingparts.cpp
@@ -162,6 +162,18 @@
     BOOST_TEST(peer.takeNews(20, at(850ms)).size() == 1u);
 }
 
+// Guards against a sound part whose answer began between a crash and its news, and does not clear it.
+BOOST_AUTO_TEST_CASE(an_answer_clears_a_crash_of_which_the_news_comes_later)
+{
+    crashing_parts parts;
+    parts.answered(service, prompt, at(100ms), at(200ms));
+    parts.merge(std::vector<part_strike> { { 2, 3, service, 1, 1, false, 150 } }, at(210ms));
+    BOOST_TEST(parts.check(prompt, at(210ms)).level == 0u);
+    BOOST_TEST(parts.takeNews(20, at(210ms)).size() == 1u); // the others hear of it
+    parts.merge(std::vector<part_strike> { { 2, 4, service, 1, 1, false, 50 } }, at(210ms));
+    BOOST_TEST(parts.check(prompt, at(210ms)).level == 1u);
+}
+
 // Guards against the innocents of one crash that displace what convicts.
 BOOST_AUTO_TEST_CASE(news_begins_with_the_highest_level)
 {
