--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -23,6 +23,7 @@
 // From the arrival of a request that crashes the replica to the crash.
 constexpr auto crashDelay = std::chrono::milliseconds(20);
 constexpr auto downTime = std::chrono::milliseconds(1500);
+constexpr auto portPause = std::chrono::milliseconds(50);
 
 replica_request decode(const http_request& request)
 {
@@ -154,8 +155,20 @@
 boost::asio::awaitable<void> replica_standin::comeBack()
 {
     co_await standins_common::pauseFor(downTime);
+    // An outgoing connection may have the port for a moment.
+    while (!tryOpen())
+        co_await standins_common::pauseFor(portPause);
+}
+
+bool replica_standin::tryOpen()
+{
     m_listener->close(); // it may have crashed again in between
-    m_listener->open(m_port);
+    try {
+        m_listener->open(m_port);
+        return true;
+    } catch (const boost::system::system_error&) {
+        return false;
+    }
 }
 
 std::vector<replica_request> replica_standin::requests() const
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -105,6 +105,8 @@
     crash_answer crashAnswer() const;
     void restart();
     boost::asio::awaitable<void> comeBack();
+    /// Listens at its port again; false if the port is taken.
+    bool tryOpen();
 
     standin_thread& m_thread;
     std::string m_id;
