Test bed of gateways: killing all nodes, waiting for peers and reading metrics stand once

tst_crashingparts had written again what tst_streamversions had: both call the test bed now. A node that does not hear the others ends the test by an exception with its log, as for one that does not get ready, instead of a check; the same conditions and assertions.

--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -160,6 +160,33 @@
         throw std::runtime_error("the node is not ready: " + node.process->log());
 }
 
+void gateway_testbed::awaitPeers() const
+{
+    const std::string others = "lycheefront_peers " + std::to_string(m_nodes.size() - 1);
+    for (const auto& node : m_nodes) {
+        if (!waitUntil([&] { return metrics(*node).find(others) != std::string::npos; }))
+            throw std::runtime_error("the node does not hear the others: " + node->process->log());
+    }
+}
+
+void gateway_testbed::killAll()
+{
+    for (const auto& node : m_nodes)
+        node->process->kill();
+    for (const auto& node : m_nodes)
+        restartNode(*node);
+    for (const auto& node : m_nodes)
+        awaitReady(*node);
+}
+
+std::string gateway_testbed::metrics(const gateway_node& node) const
+{
+    http_question question;
+    question.target = "/metrics";
+    question.address = node.address;
+    return askHttp(node.metricsPort, question).body;
+}
+
 http_question gateway_testbed::question(
     const std::string& method, const std::string& path, const std::string& body)
 {
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -90,6 +90,13 @@
     /// Waits until the node is ready. Throws std::runtime_error if it does not become ready.
     void awaitReady(const gateway_node& node) const;
 
+    /// Waits until all nodes hear each other. Throws std::runtime_error if one does not hear the others.
+    void awaitPeers() const;
+    /// Kills all nodes at once, and waits until they are ready again.
+    void killAll();
+    /// The metrics of a node, in the text format of Prometheus.
+    std::string metrics(const gateway_node& node) const;
+
     /// A request with the first key and a new id.
     http_question question(const std::string& method, const std::string& path, const std::string& body = "");
     http_reply ask(const gateway_node& node, const http_question& question) const;
--- a/tests/auto/gateway/tst_crashingparts.cpp
+++ b/tests/auto/gateway/tst_crashingparts.cpp
@@ -39,22 +39,9 @@
             startNode();
         for (std::size_t i = 0; i < nodes; ++i)
             awaitReady(node(i));
-        awaitPeers(nodes);
+        awaitPeers();
     }
 
-    void awaitPeers(std::size_t count)
-    {
-        const std::string others = "lycheefront_peers " + std::to_string(count - 1);
-        for (std::size_t i = 0; i < count; ++i)
-            BOOST_REQUIRE(waitUntil([&] { return metrics(node(i)).find(others) != std::string::npos; }));
-    }
-    std::string metrics(const gateway_node& node) const
-    {
-        http_question question;
-        question.target = "/metrics";
-        question.address = node.address;
-        return askHttp(node.metricsPort, question).body;
-    }
     void crashOn(const std::set<std::string>& parts,
         replica_standin::crash_answer answer = replica_standin::crash_answer::None)
     {
@@ -102,15 +89,6 @@
         }
         return sound;
     }
-    void killAll()
-    {
-        for (std::size_t i = 0; i < nodes; ++i)
-            node(i).process->kill();
-        for (std::size_t i = 0; i < nodes; ++i)
-            restartNode(node(i));
-        for (std::size_t i = 0; i < nodes; ++i)
-            awaitReady(node(i));
-    }
     /// Waits until the store holds which parts are refused.
     void awaitRecord()
     {
--- a/tests/auto/gateway/tst_streamversions.cpp
+++ b/tests/auto/gateway/tst_streamversions.cpp
@@ -48,23 +48,6 @@
         entry.softwareVersion = version;
         announce(engine(index), "engines", entry);
     }
-    /// Kills all nodes at once, and waits until they are ready again.
-    void killAll()
-    {
-        for (std::size_t i = 0; i < nodes; ++i)
-            node(i).process->kill();
-        for (std::size_t i = 0; i < nodes; ++i)
-            restartNode(node(i));
-        for (std::size_t i = 0; i < nodes; ++i)
-            awaitReady(node(i));
-    }
-    /// Waits until all nodes hear each other.
-    void awaitPeers()
-    {
-        const std::string others = "lycheefront_peers " + std::to_string(nodes - 1);
-        for (std::size_t i = 0; i < nodes; ++i)
-            BOOST_REQUIRE(waitUntil([&] { return metrics(node(i)).find(others) != std::string::npos; }));
-    }
     /// Waits until a node knows the origin of that many streams, if it says anything of it.
     void awaitOrigins(std::size_t nodeIndex, unsigned streams)
     {
@@ -75,13 +58,6 @@
             return at == std::string::npos || std::stoul(text.substr(at + name.size())) >= streams;
         }));
     }
-    std::string metrics(const gateway_node& node) const
-    {
-        http_question question;
-        question.target = "/metrics";
-        question.address = node.address;
-        return askHttp(node.metricsPort, question).body;
-    }
     std::string versionOf(const std::string& engineId) const
     {
         const auto found = m_versions.find(engineId);
