--- a/src/app/lycheefront-gateway/main.cpp
+++ b/src/app/lycheefront-gateway/main.cpp
@@ -5,7 +5,10 @@
 
 #include "gateway/node.h"
 
+#include "wire/task.h"
+
 #include "utils/eventlog.h"
+#include "utils/processfailure.h"
 #include "utils/result.h"
 
 #include <boost/asio/io_context.hpp>
@@ -83,7 +86,7 @@
         return listenExitCode;
     }
     utils::logEvent(utils::event::Started, { { "node", options.name } });
-    io.run();
+    wire::runEventLoop(io);
     utils::logEvent(utils::event::Stopped, { { "node", options.name } });
     return EXIT_SUCCESS;
 }
@@ -99,6 +102,7 @@
     gflags::SetVersionString("0.2.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     utils::configureLog(utils::log_format::Json, utils::severity::Info);
+    utils::reportProcessFailures();
     if (argc > 1 || FLAGS_metrics_port < 0 || FLAGS_metrics_port > maxPort) {
         std::cerr << "unknown argument or port out of range; see --help\n";
         return usageExitCode;
--- a/src/app/lycheefrontd/operatorserver.cpp
+++ b/src/app/lycheefrontd/operatorserver.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/clock.h"
 #include "wire/acceptloop.h"
+#include "wire/task.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -58,10 +59,9 @@
 void operator_server::start(const asio::ip::tcp::endpoint& endpoint)
 {
     m_acceptor = wire::listenOn(m_context.executor, endpoint);
-    asio::co_spawn(m_context.executor,
+    wire::startTask(m_context.executor, "accept_operators",
         wire::acceptLoop(
-            m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }),
-        asio::detached);
+            m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }));
 }
 
 void operator_server::stop()
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -145,17 +145,28 @@
 {
     const auto self = shared_from_this();
     const auto [error, count] = co_await asio::async_write(m_socket, asio::buffer(bytes), asTuple);
+    if (error)
+        recordEnd(error);
     co_return error;
 }
 
+void caller_connection::recordEnd(const error_code& error)
+{
+    if (m_endOfCaller.empty())
+        m_endOfCaller = error ? error.message() : "closed";
+}
+
 void caller_connection::watch(std::function<void()> onGone)
 {
     m_onGone = std::move(onGone);
     ++m_watchGeneration;
-    if (wire::peekSocket(m_socket) == wire::peek_result::Closed)
-        std::exchange(m_onGone, nullptr)();
-    else
+    error_code error;
+    if (wire::peekSocket(m_socket, error) != wire::peek_result::Closed) {
         waitForClose(m_watchGeneration);
+        return;
+    }
+    recordEnd(error);
+    std::exchange(m_onGone, nullptr)();
 }
 
 void caller_connection::stopWatching()
@@ -172,14 +183,16 @@
         asio::ip::tcp::socket::wait_read, [self = shared_from_this(), generation](const error_code& error) {
             if (generation != self->m_watchGeneration || error == asio::error::operation_aborted)
                 return;
+            error_code end = error;
             const wire::peek_result peeked
-                = error ? wire::peek_result::Closed : wire::peekSocket(self->m_socket);
+                = error ? wire::peek_result::Closed : wire::peekSocket(self->m_socket, end);
             if (peeked == wire::peek_result::Nothing) {
                 self->waitForClose(generation);
                 return;
             }
             if (peeked != wire::peek_result::Closed)
                 return;
+            self->recordEnd(end);
             const auto onGone = std::move(self->m_onGone);
             self->m_onGone = nullptr;
             if (onGone)
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -52,6 +52,9 @@
     /// do useless work. Bytes of a next request do not count as a close; a close behind them goes unnoticed.
     void watch(std::function<void()> onGone);
     void stopWatching();
+    /// How the caller's side of the connection ended, as far as watch() or write() has seen; empty: it has
+    /// not.
+    const std::string& endOfCaller() const { return m_endOfCaller; }
     /// Stops waiting for a request, if the connection is idle; a request whose bytes were read already is
     /// processed.
     void endIfIdle();
@@ -68,11 +71,13 @@
     void startTimer(utils::duration limit);
     void stopTimer();
     void waitForClose(std::uint64_t generation);
+    void recordEnd(const error_code& error);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::string m_received;
     std::function<void()> m_onGone;
+    std::string m_endOfCaller;
     std::uint64_t m_watchGeneration = 0;
     std::uint64_t m_timerGeneration = 0;
     bool m_isIdle = false;
--- a/src/libs/gateway/clientsession.h
+++ b/src/libs/gateway/clientsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerconnection.h"
+#include "cutanswer.h"
 #include "nodecontext.h"
 #include "requestflow.h"
 #include "requestlog.h"
@@ -49,6 +50,8 @@
 
     /// Closes the connection if no request is in progress on it.
     void closeIfIdle() { m_connection->endIfIdle(); }
+    /// Logs the request in progress, if there is one, because the process ends.
+    void reportUnfinished(utils::time_point now) { reportCut(cut_cause::ProcessEnd, {}, now); }
 
 private:
     boost::asio::awaitable<bool> reject(const read_outcome& outcome)
@@ -63,6 +66,59 @@
         co_return false;
     }
 
+    /// Counts a request as in progress while it exists.
+    class progress_guard {
+    public:
+        progress_guard(client_session& session, const client_request& request, const response_writer& writer)
+            : m_session(session)
+        {
+            ++m_session.m_context.requestsInProgress;
+            m_session.m_request = &request;
+            m_session.m_writer = &writer;
+        }
+        ~progress_guard()
+        {
+            m_session.m_request = nullptr;
+            m_session.m_writer = nullptr;
+            --m_session.m_context.requestsInProgress;
+        }
+        progress_guard(const progress_guard&) = delete;
+        progress_guard& operator=(const progress_guard&) = delete;
+
+    private:
+        client_session& m_session;
+    };
+
+    /// Ends what a request has started on its connection, also when an exception leaves its flow.
+    class watch_guard {
+    public:
+        watch_guard(std::shared_ptr<stop_scope> scope, caller_connection& connection)
+            : m_scope(std::move(scope))
+            , m_connection(connection)
+        {
+        }
+        ~watch_guard()
+        {
+            m_scope->finish();
+            m_connection.stopWatching();
+        }
+        watch_guard(const watch_guard&) = delete;
+        watch_guard& operator=(const watch_guard&) = delete;
+
+    private:
+        std::shared_ptr<stop_scope> m_scope;
+        caller_connection& m_connection;
+    };
+
+    void reportCut(cut_cause cause, const std::string& detail, utils::time_point present)
+    {
+        if (m_request == nullptr)
+            return;
+        m_context.metrics.countCutAnswer(noService, cause);
+        logCutAnswer({ m_request->requestId, m_request->target, m_request->arrivedAt, m_writer->hasBegun() },
+            cause, detail, present);
+    }
+
     boost::asio::awaitable<bool> serve(read_outcome& outcome)
     {
         client_request request = Wire::decodeRequest(outcome.request->base());
@@ -73,10 +129,8 @@
         // The bytes waited for this iteration of the event loop before they were read.
         request.arrivedAt = outcome.arrivedAt - m_context.loopDelay.standing();
         const bool keepsAlive = outcome.request->keep_alive() && !m_context.window.isStopping();
-        ++m_context.requestsInProgress;
         response_writer writer(*m_connection, Wire::requestIdHeader(), request.requestId, keepsAlive);
-        const flow_result result = co_await dispatch(request, writer);
-        --m_context.requestsInProgress;
+        const flow_result result = co_await dispatchSafely(request, writer);
         if (m_context.window.isStopping())
             writer.closeAfterResponse();
         if (result.isTruncated || result.stopReason == stop_reason::CallerGone) {
@@ -103,6 +157,20 @@
         return false;
     }
 
+    /// Serves a request. An unexpected error ends this connection and nothing else.
+    boost::asio::awaitable<flow_result> dispatchSafely(const client_request& request, response_writer& writer)
+    {
+        const progress_guard progress(*this, request, writer);
+        try {
+            co_return co_await dispatch(request, writer);
+        } catch (const std::exception& error) {
+            reportCut(cut_cause::TaskFailed, error.what(), now());
+        }
+        flow_result failed;
+        failed.isTruncated = true;
+        co_return failed;
+    }
+
     boost::asio::awaitable<flow_result> dispatch(const client_request& request, response_writer& writer)
     {
         std::optional<utils::failure> refused;
@@ -129,9 +197,12 @@
                 connection->abort();
         });
         request_flow<Wire> flow(m_context, m_services, request, plan, scope, writer);
-        flow_result result = co_await flow.run();
-        scope->finish();
-        m_connection->stopWatching();
+        flow_result result;
+        {
+            const watch_guard guard(scope, *m_connection);
+            result = co_await flow.run();
+        }
+        result.endOfCaller = m_connection->endOfCaller();
         report(request, plan, result);
         co_return result;
     }
@@ -144,6 +215,11 @@
         m_context.metrics.countRequest(plan.route == nullptr ? noService : std::string_view(plan.service),
             kind, finishedAt - request.arrivedAt);
         logRequest(m_context, request, plan, result, finishedAt);
+        if (!result.isTruncated)
+            return;
+        const bool hasDeadlinePassed = result.stopReason == stop_reason::DeadlineExceeded;
+        m_context.metrics.countCutAnswer(plan.service, cutCauseOf(result.lastSent, hasDeadlinePassed));
+        logCutAnswer(m_context, request, plan, result, finishedAt);
     }
 
     static utils::error_kind kindOf(read_status status)
@@ -168,6 +244,8 @@
     flow_services m_services;
     std::uint64_t m_receiver;
     std::shared_ptr<caller_connection> m_connection;
+    const client_request* m_request = nullptr; ///< in progress; null: none
+    const response_writer* m_writer = nullptr; ///< of that request
 };
 
 } // namespace gateway
--- a/src/libs/gateway/crashdirectory.cpp
+++ b/src/libs/gateway/crashdirectory.cpp
@@ -5,13 +5,12 @@
 #include "requestlog.h"
 
 #include "wire/connect.h"
+#include "wire/task.h"
 
 #include "utils/eventlog.h"
 #include "utils/hashing.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -78,7 +77,7 @@
         known = std::make_shared<server_check>(m_context.executor);
         known->startedAt = present;
         known->timer.expires_after(checkTimeout);
-        boost::asio::co_spawn(m_context.executor, probe(server, known), boost::asio::detached);
+        wire::startTask(m_context.executor, "probe_crash", probe(server, known));
     }
     const std::shared_ptr<server_check> check = known;
     if (check->timer.expiry() > std::chrono::steady_clock::now())
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/flowresult.h
@@ -17,6 +17,7 @@
     std::optional<utils::failure> failure; ///< not set when the caller has a complete response
     int status = 0; ///< HTTP status of the response
     attempt_outcome lastOutcome = attempt_outcome::NotSent;
+    attempt_outcome lastSent = attempt_outcome::NotSent; ///< end of the last attempt that sent something
     unsigned attempts = 0;
     unsigned sent = 0; ///< attempts that reached a server of the service, those of earlier nodes included
     utils::server_id server; ///< of the last attempt
@@ -39,6 +40,7 @@
     utils::duration timeToFirstEvent {}; ///< from the arrival of the request
     utils::duration longestGap {}; ///< between two events as they were forwarded
     bool isTruncated = false; ///< the caller received only part of a response
+    std::string endOfCaller; ///< how the caller's connection ended, if it did so first
 };
 
 } // namespace gateway
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -14,15 +14,13 @@
 
 #include "wire/acceptloop.h"
 #include "wire/connect.h"
+#include "wire/task.h"
 
 #include "decisions/connectiongate.h"
 
 #include "utils/crypto.h"
 #include "utils/hashing.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <list>
 #include <memory>
 #include <optional>
@@ -76,7 +74,7 @@
         if (m_context.options.forwardPort != 0) {
             m_forwardAcceptor = wire::listenOn(
                 executor, { m_context.options.peerAddress.address(), m_context.options.forwardPort });
-            boost::asio::co_spawn(executor, acceptForwarded(), boost::asio::detached);
+            wire::startTask(executor, "accept_forwarded", acceptForwarded());
         }
         const utils::time_point present = now();
         for (const auto& seed : m_context.options.seeds)
@@ -84,9 +82,9 @@
         m_context.fleetSize.observe(static_cast<unsigned>(m_peers.knownNodes()), present);
         if (m_peers.knownNodes() == 1)
             m_context.fleetSize.settle();
-        boost::asio::co_spawn(executor, acceptCallers(), boost::asio::detached);
+        wire::startTask(executor, "accept_callers", acceptCallers());
         m_viewUpdater.start(*m_link);
-        boost::asio::co_spawn(executor, heartbeatLoop(), boost::asio::detached);
+        wire::startTask(executor, "heartbeat", heartbeatLoop());
     }
 
     /// Starts the shutdown; calls `onDone` once no request is in progress, at the latest at the end of the
@@ -173,8 +171,10 @@
             m_openTimer.expires_after(m_context.window.opensAt() - now());
             co_await m_openTimer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         }
-        co_await wire::acceptLoop(m_acceptor,
-            [this](boost::asio::ip::tcp::socket socket) { return serveCaller(std::move(socket)); });
+        co_await wire::acceptLoop(
+            m_acceptor,
+            [this](boost::asio::ip::tcp::socket socket) { return serveCaller(std::move(socket)); },
+            "serve_caller");
     }
 
     /// Serves a caller's connection, or closes it unread where other nodes can serve the caller sooner.
@@ -197,8 +197,10 @@
 
     boost::asio::awaitable<void> acceptForwarded()
     {
-        co_await wire::acceptLoop(m_forwardAcceptor,
-            [this](boost::asio::ip::tcp::socket socket) { return serve(std::move(socket), m_bootId); });
+        co_await wire::acceptLoop(
+            m_forwardAcceptor,
+            [this](boost::asio::ip::tcp::socket socket) { return serve(std::move(socket), m_bootId); },
+            "serve_forwarded");
     }
 
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, std::uint64_t receiver)
@@ -293,6 +295,10 @@
         if (phase != stop_phase::Done || m_isDone)
             return;
         m_isDone = true;
+        for (const auto& weak : m_sessions) {
+            if (const auto open = weak.lock())
+                open->reportUnfinished(present);
+        }
         m_onDone();
     }
 
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -50,6 +50,7 @@
     node_options options;
     utils::time_point startedAt; ///< of this process
     catalogue::configuration_ptr configuration; ///< in force; null before the first
+    utils::time_point configurationAt {}; ///< when it came into force on this node
     catalogue::server_directory servers;
     decisions::view_lag viewLag; ///< of the view of the backend servers
     decisions::version_history versions; ///< of the software of the backend servers
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -61,6 +61,8 @@
         "lycheefront_server_connects_total", "Connections opened to backend servers, by service and end");
     counter_family& forwards
         = counters("lycheefront_forwarded_requests_total", "Requests forwarded to peers, by service and end");
+    counter_family& cutAnswers = counters("lycheefront_answers_cut_total",
+        "Responses of which callers received only the beginning, by service and cause");
     prometheus::Counter& closedUnread = counters("lycheefront_connections_closed_unread_total",
         "Callers' connections closed unread, since this node has more than it can do and others have less")
                                             .Add({});
@@ -167,6 +169,11 @@
     d->closedUnread.Increment();
 }
 
+void node_metrics::countCutAnswer(std::string_view service, cut_cause cause)
+{
+    d->cutAnswers.Add({ { "service", str(service) }, { "cause", str(toString(cause)) } }).Increment();
+}
+
 void node_metrics::countForward(std::string_view service, attempt_outcome end)
 {
     d->forwards.Add({ { "service", str(service) }, { "end", str(toString(end)) } }).Increment();
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "attempt.h"
+#include "cutanswer.h"
 #include "store.h"
 
 #include "utils/errorkind.h"
@@ -67,6 +68,8 @@
     void countConnect(std::string_view service, bool isAccepted);
     /// Counts a caller's connection that was closed before its request was read.
     void countClosedUnread();
+    /// Counts a response of which the caller received only the beginning.
+    void countCutAnswer(std::string_view service, cut_cause cause);
     /// Counts an attempt by way of a peer.
     void countForward(std::string_view service, attempt_outcome end);
     void countStoreCall(store_call call, store_status status);
--- a/src/libs/gateway/pathprober.cpp
+++ b/src/libs/gateway/pathprober.cpp
@@ -4,9 +4,8 @@
 #include "connectattempt.h"
 
 #include "wire/connect.h"
+#include "wire/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace gateway {
@@ -22,7 +21,7 @@
         for (const catalogue::backend_server* server : m_context.servers.usable(name))
             servers.push_back(server->id);
         for (const utils::server_id& server : m_context.reachability.nextProbes(name, servers, now))
-            boost::asio::co_spawn(m_context.executor, probe(server), boost::asio::detached);
+            wire::startTask(m_context.executor, "probe_path", probe(server));
     }
 }
 
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -7,11 +7,10 @@
 
 #include "wire/acceptloop.h"
 #include "wire/connect.h"
+#include "wire/task.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
@@ -57,12 +56,13 @@
     m_datagrams.open(local.protocol());
     m_datagrams.bind(local);
     m_acceptor = wire::listenOn(m_executor, address);
-    asio::co_spawn(m_executor, receiveDatagrams(), asio::detached);
-    asio::co_spawn(m_executor,
-        wire::acceptLoop(m_acceptor,
+    wire::startTask(m_executor, "receive_datagrams", receiveDatagrams());
+    wire::startTask(m_executor, "accept_copies",
+        wire::acceptLoop(
+            m_acceptor,
             [self = shared_from_this()](
-                asio::ip::tcp::socket socket) { return self->serveCopy(std::move(socket)); }),
-        asio::detached);
+                asio::ip::tcp::socket socket) { return self->serveCopy(std::move(socket)); },
+            "serve_copy"));
 }
 
 void peer_link::sendDatagram(const std::string& address, const std::string& datagram)
--- a/src/libs/gateway/recordkeeper.h
+++ b/src/libs/gateway/recordkeeper.h
@@ -6,13 +6,12 @@
 #include "store.h"
 #include "storeview.h"
 
+#include "wire/task.h"
+
 #include "decisions/followrule.h"
 
 #include "utils/hashing.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <concepts>
 #include <optional>
 #include <string>
@@ -87,7 +86,7 @@
             return;
         m_isWriting = true;
         m_nextWriteAt = now + writeInterval;
-        boost::asio::co_spawn(m_context.executor, write(std::move(*text)), boost::asio::detached);
+        wire::startTask(m_context.executor, "write_record", write(std::move(*text)));
     }
 
 private:
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -15,9 +15,8 @@
 #include "wireprotocol.h"
 
 #include "wire/connect.h"
+#include "wire/task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <set>
@@ -164,6 +163,7 @@
         m_forwarder.ended(peer);
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
+        recordSent();
         m_context.metrics.countForward(m_plan.service, m_result.lastOutcome);
         const std::optional<utils::error_kind> failure = m_relay.peerFailure();
         const bool isUnsent = m_result.lastOutcome == attempt_outcome::NotRun && !isOverload(*failure);
@@ -246,6 +246,7 @@
         m_result.lastOutcome = co_await tryServer(placement->server);
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
+        recordSent();
         m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
         m_record.add(m_result.lastOutcome);
         if (m_result.lastOutcome == attempt_outcome::Cut || m_result.lastOutcome == attempt_outcome::Silent)
@@ -261,8 +262,13 @@
         if (m_record.mayRetry())
             co_await m_crashes.attemptLost(std::move(attempt));
         else
-            boost::asio::co_spawn(
-                m_context.executor, m_crashes.attemptLost(std::move(attempt)), boost::asio::detached);
+            wire::startTask(m_context.executor, "check_crash", m_crashes.attemptLost(std::move(attempt)));
+    }
+
+    void recordSent()
+    {
+        if (attempt_record::isSent(m_result.lastOutcome))
+            m_result.lastSent = m_result.lastOutcome;
     }
 
     std::string versionOf(const utils::server_id& server) const
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -1,6 +1,7 @@
 #include "requestlog.h"
 
 #include "attempttracker.h"
+#include "cutanswer.h"
 #include "flowresult.h"
 
 #include "utils/eventlog.h"
@@ -93,6 +94,8 @@
         return;
     }
     fields.push_back({ "kind", std::string(utils::answerFor(result.failure->kind).name) });
+    if (!result.endOfCaller.empty())
+        fields.push_back({ "caller", result.endOfCaller });
     if (result.refused) {
         fields.push_back({ "urgency", std::to_string(result.refused->query.urgency) });
         fields.push_back({ "slot_wait_ms", millisecondsText(result.refused->query.slotWait) });
@@ -117,6 +120,32 @@
     utils::logEvent(utils::event::RequestRefused, fields);
 }
 
+void logCutAnswer(const node_context& context, const client_request& request, const request_plan& plan,
+    const flow_result& result, utils::time_point now)
+{
+    const cut_cause cause = cutCauseOf(result.lastSent, result.stopReason == stop_reason::DeadlineExceeded);
+    const auto allowance = context.repeats.find(plan.service);
+    const double repeatsLeft = allowance == context.repeats.end() ? 0 : allowance->second.left(now);
+    std::vector<utils::log_field> fields { { "request", request.requestId },
+        { "cause", std::string(toString(cause)) }, { "begun", "yes" }, { "route", plan.route->name },
+        { "service", plan.service }, { "server", result.server.str() },
+        { "server_version", result.serverVersion }, { "ms", millisecondsText(now - request.arrivedAt) },
+        { "left_ms", millisecondsText(plan.deadline - now) }, { "events", std::to_string(result.events) },
+        { "attempts", std::to_string(result.attempts) },
+        { "attempts_allowed", std::to_string(plan.route->maxAttempts) },
+        { "may_repeat", plan.route->mayRepeat() ? "yes" : "no" },
+        { "last", std::string(toString(result.lastOutcome)) },
+        { "repeats_left", std::to_string(static_cast<int>(repeatsLeft)) },
+        { "configuration", std::to_string(plan.configuration->version) },
+        { "configuration_in_force", std::to_string(context.configuration->version) },
+        { "configuration_age_ms", millisecondsText(now - context.configurationAt) } };
+    if (!result.forwardedTo.empty())
+        fields.push_back({ "forwarded_to", result.forwardedTo });
+    if (!result.endOfCaller.empty())
+        fields.push_back({ "caller", result.endOfCaller });
+    utils::logEvent(utils::event::AnswerCut, fields);
+}
+
 void logFailedAttempt(const client_request& request, const failed_attempt& attempt)
 {
     const bool isForwarded = !attempt.forwardedTo.empty();
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -34,6 +34,9 @@
 /// Logs how a request ended and the values that decided it.
 void logRequest(const node_context& context, const client_request& request, const request_plan& plan,
     const flow_result& result, utils::time_point now);
+/// Logs that the caller received only the beginning of a response, and why nothing replaced it.
+void logCutAnswer(const node_context& context, const client_request& request, const request_plan& plan,
+    const flow_result& result, utils::time_point now);
 /// Logs an attempt that failed, whether or not the request is retried.
 void logFailedAttempt(const client_request& request, const failed_attempt& attempt);
 /// Logs that a crash counts against the request of an attempt. `level`: the highest one of its parts, see
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/storeview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clock.h"
 #include "nodecontext.h"
 #include "peermessages.h"
 #include "removalhistory.h"
@@ -70,6 +71,7 @@
                     return utils::fail(utils::error_kind::InvalidDocument,
                         "the version is not higher than the one in force");
                 m_context.configuration = configuration;
+                m_context.configurationAt = now();
                 m_context.updateServers();
                 utils::logEvent(utils::event::ConfigurationInForce,
                     { { "version", std::to_string(configuration->version) },
--- a/src/libs/gateway/textserver.cpp
+++ b/src/libs/gateway/textserver.cpp
@@ -3,11 +3,10 @@
 #include "httpconnection.h"
 
 #include "wire/acceptloop.h"
+#include "wire/task.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,11 +45,12 @@
 void text_server::listen(const asio::ip::tcp::endpoint& address)
 {
     m_acceptor = wire::listenOn(m_executor, address);
-    asio::co_spawn(m_executor,
-        wire::acceptLoop(m_acceptor,
+    wire::startTask(m_executor, "accept_text",
+        wire::acceptLoop(
+            m_acceptor,
             [self = shared_from_this()](
-                asio::ip::tcp::socket socket) { return self->serve(std::move(socket)); }),
-        asio::detached);
+                asio::ip::tcp::socket socket) { return self->serve(std::move(socket)); },
+            "serve_text"));
 }
 
 asio::awaitable<void> text_server::serve(asio::ip::tcp::socket socket)
--- a/src/libs/gateway/viewupdater.h
+++ b/src/libs/gateway/viewupdater.h
@@ -10,9 +10,7 @@
 #include "decisions/followrule.h"
 
 #include "wire/connect.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "wire/task.h"
 
 #include <functional>
 
@@ -44,7 +42,7 @@
     void start(peer_link& link)
     {
         m_link = &link;
-        boost::asio::co_spawn(m_context.executor, m_watch.run(), boost::asio::detached);
+        wire::startTask(m_context.executor, "watch_store", m_watch.run());
     }
 
     /// Handles a peer's heartbeat. Precondition: the peer table has accepted it.
@@ -228,7 +226,7 @@
         if (start == fetch_start::No)
             return;
         const utils::duration wait = start == fetch_start::First ? headStart : utils::duration::zero();
-        boost::asio::co_spawn(m_context.executor, fetchFrom(peer, part, wait), boost::asio::detached);
+        wire::startTask(m_context.executor, "fetch_view", fetchFrom(peer, part, wait));
     }
 
     /// Reads a new configuration from the store, once for each revision that peers report, and again after
@@ -244,7 +242,7 @@
         if (m_follows || !m_view.isComplete())
             m_watch.callNow();
         else if (!m_isReadingConfiguration)
-            boost::asio::co_spawn(m_context.executor, readConfiguration(), boost::asio::detached);
+            wire::startTask(m_context.executor, "read_configuration", readConfiguration());
     }
 
     /// All nodes read the same item at the same time, so the cheap read comes first. It proves nothing about
--- a/src/libs/serving/callerserver.cpp
+++ b/src/libs/serving/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "callerserver.h"
 
 #include "wire/acceptloop.h"
+#include "wire/task.h"
 
 namespace serving {
 
@@ -17,10 +18,9 @@
 void caller_server::start(const asio::ip::tcp::endpoint& endpoint)
 {
     m_acceptor = wire::listenOn(m_context.executor, endpoint);
-    asio::co_spawn(m_context.executor,
+    wire::startTask(m_context.executor, "accept_callers",
         wire::acceptLoop(
-            m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }),
-        asio::detached);
+            m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }));
 }
 
 void caller_server::leave()
--- a/src/libs/serving/peerserver.cpp
+++ b/src/libs/serving/peerserver.cpp
@@ -1,6 +1,7 @@
 #include "peerserver.h"
 
 #include "wire/acceptloop.h"
+#include "wire/task.h"
 
 #include "framewriter.h"
 
@@ -48,10 +49,9 @@
 void peer_server::start(const asio::ip::tcp::endpoint& endpoint)
 {
     m_acceptor = wire::listenOn(m_context.executor, endpoint);
-    asio::co_spawn(m_context.executor,
+    wire::startTask(m_context.executor, "accept_peers",
         wire::acceptLoop(
-            m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }),
-        asio::detached);
+            m_acceptor, [this](asio::ip::tcp::socket socket) { return session(std::move(socket)); }));
 }
 
 void peer_server::stop()
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -20,6 +20,8 @@
     event_info { event::SettingsRead, Info, "settings_read",
         "The changed settings are valid; they take effect at the next start" },
     event_info { event::WorkLate, Warning, "work_late", "Timed work runs late" },
+    event_info { event::TaskFailed, Error, "task_failed", "An unexpected error ended a task of the process" },
+    event_info { event::ProcessFailed, Error, "process_failed", "An unexpected error ends the process" },
     event_info {
         event::PeerKeyRejected, Warning, "peer_key_rejected", "Data from a peer failed authentication" },
     event_info { event::ConfigurationInForce, Info, "configuration_in_force",
@@ -49,6 +51,8 @@
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info {
         event::AttemptFailed, Info, "attempt_failed", "An attempt at a backend server got no answer" },
+    event_info { event::AnswerCut, Warning, "answer_cut",
+        "The connection of a caller ended before its response was complete" },
     event_info { event::ServerFailure, Warning, "server_failure", "A backend server failed a request" },
     event_info {
         event::ServerCrashed, Warning, "server_crashed", "A backend server crashed with requests in flight" },
--- a/src/libs/wire/acceptloop.h
+++ b/src/libs/wire/acceptloop.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "task.h"
+
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,11 +19,13 @@
 /// accepted.
 inline constexpr int acceptedAtOnce = 256;
 
-/// Accepts connections until the acceptor is closed and runs `session(socket)`, a coroutine, for each.
+/// Accepts connections until the acceptor is closed and runs `session(socket)`, a coroutine, for each, as a
+/// task of that name.
 /// After an error, such as no free file descriptors, it waits 50 ms instead of spinning; the open sessions
 /// continue and free theirs.
 template <class Session>
-boost::asio::awaitable<void> acceptLoop(boost::asio::ip::tcp::acceptor& acceptor, Session session)
+boost::asio::awaitable<void> acceptLoop(
+    boost::asio::ip::tcp::acceptor& acceptor, Session session, std::string_view task = "session")
 {
     constexpr std::chrono::milliseconds pauseOnError { 50 };
     while (acceptor.is_open()) {
@@ -37,14 +39,14 @@
             co_await timer.async_wait(token);
             continue;
         }
-        boost::asio::co_spawn(acceptor.get_executor(), session(std::move(socket)), boost::asio::detached);
+        startTask(acceptor.get_executor(), task, session(std::move(socket)));
         acceptor.non_blocking(true);
         for (int i = 1; i < acceptedAtOnce; ++i) {
             boost::asio::ip::tcp::socket next(acceptor.get_executor());
             acceptor.accept(next, error);
             if (error)
                 break; // the listen queue is empty; any other error recurs at the next async_accept
-            boost::asio::co_spawn(acceptor.get_executor(), session(std::move(next)), boost::asio::detached);
+            startTask(acceptor.get_executor(), task, session(std::move(next)));
         }
     }
 }
--- a/src/libs/wire/socketpeek.cpp
+++ b/src/libs/wire/socketpeek.cpp
@@ -16,12 +16,19 @@
 
 peek_result peekSocket(asio::ip::tcp::socket& socket)
 {
-    unsigned char first = 0;
     boost::system::error_code error;
+    return peekSocket(socket, error);
+}
+
+peek_result peekSocket(asio::ip::tcp::socket& socket, boost::system::error_code& error)
+{
+    unsigned char first = 0;
     socket.non_blocking(true, error);
     const std::size_t count = socket.receive(asio::buffer(&first, 1), asio::socket_base::message_peek, error);
     if (error == asio::error::would_block || error == asio::error::try_again)
         return peek_result::Nothing;
+    if (error == asio::error::eof)
+        error.clear();
     if (error || count == 0)
         return peek_result::Closed;
     return first == tlsAlertRecord ? peek_result::TlsAlert : peek_result::Bytes;
--- a/tests/auto/wire/tst_acceptloop.cpp
+++ b/tests/auto/wire/tst_acceptloop.cpp
@@ -1,5 +1,6 @@
 #include "wire/acceptloop.h"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
