Test of servers that fall silent and go on, red: streams that nothing can replace are cut

Callers saw a head, events, then a reset. A node before three servers that send nothing for 1.6 s: 0 of 18 streams whole, also beside a change of the configuration; 0 of 12 lookups and 0 of 18 streams not begun served (502). On the route with one attempt all 18 are whole. The logs: attempt_failed end=silent for all, then answer_cut cause=server_silent last=no_repeat, or silent on the last attempt. The cases on observability pass.

--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -21,12 +21,13 @@
 }
 
 json::object routeJson(const std::string& name, const std::string& path, const std::string& kind,
-    const std::string& service, unsigned attempts, const std::vector<std::string>& regions)
+    const std::string& service, unsigned attempts, const configuration_content& content)
 {
     return { { "name", name }, { "hostname", "shop.example" }, { "pathPrefix", path }, { "kind", kind },
-        { "timeoutMs", 20000 }, { "targetLatencyMs", 5000 }, { "priority", 1 }, { "backend", service },
-        { "maxAttempts", attempts }, { "public", false }, { "sticky", kind == "streaming" },
-        { "resumable", name == "chat" }, { "gapAimMs", 5000 }, { "allowedRegions", textsJson(regions) } };
+        { "timeoutMs", content.timeoutMs }, { "targetLatencyMs", content.latencyMs }, { "priority", 1 },
+        { "backend", service }, { "maxAttempts", attempts }, { "public", false },
+        { "sticky", kind == "streaming" }, { "resumable", name == "chat" }, { "gapAimMs", content.gapMs },
+        { "allowedRegions", textsJson(content.routeRegions) } };
 }
 
 } // namespace
@@ -62,10 +63,10 @@
     const json::object document {
         { "resourceVersion", version },
         { "routes",
-            json::array { routeJson("pay", "/pay/", "non_idempotent", "press", 1, content.routeRegions),
-                routeJson("look", "/look/", "idempotent", "press", 2, content.routeRegions),
-                routeJson("chat", "/chat/", "streaming", "engines", 2, content.routeRegions),
-                routeJson("draft", "/draft/", "streaming", "engines", 1, content.routeRegions) } },
+            json::array { routeJson("pay", "/pay/", "non_idempotent", "press", 1, content),
+                routeJson("look", "/look/", "idempotent", "press", 2, content),
+                routeJson("chat", "/chat/", "streaming", "engines", 2, content),
+                routeJson("draft", "/draft/", "streaming", "engines", 1, content) } },
         { "services",
             json::array { json::object { { "name", "press" }, { "healthPath", "/healthz" }, { "maxConns", 9 },
                               { "coldStartS", 3 }, { "coldPerS", content.coldRequestsPerSecond } },
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -39,6 +39,9 @@
     std::vector<std::string> routeRegions {}; ///< of all routes
     std::vector<std::string> workspaceRegions {};
     double coldRequestsPerSecond = 0; ///< of the service "press"; 0: not limited
+    unsigned latencyMs = 5000; ///< target of all routes
+    unsigned gapMs = 5000; ///< target between two events
+    unsigned timeoutMs = 20000; ///< of all routes
 };
 
 /// Real gateway processes with stand-ins for the platform's store and for replicas. Tests wait for states,
--- /dev/null
+++ b/tests/auto/gateway/tst_silentservers.cpp
@@ -0,0 +1,200 @@
+#include "gatewaytestbed.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+using platform_standin::eventsUpTo;
+using platform_standin::replica_act;
+
+namespace {
+
+constexpr std::size_t replicas = 3; ///< of each service
+constexpr unsigned events = 20; ///< of a stream
+constexpr auto eventInterval = std::chrono::milliseconds(100);
+constexpr unsigned streams = 18;
+constexpr unsigned lookups = 12;
+const std::string repeatablePath = "/chat/1"; // two attempts
+const std::string path = "/draft/1"; // one attempt
+
+/// A node before servers that can fall silent and go on. It may repeat as much as on the platform's sheets.
+class silent_testbed : public gateway_testbed {
+public:
+    silent_testbed()
+        : gateway_testbed(replicas)
+    {
+        configuration_content content;
+        content.latencyMs = 500;
+        content.gapMs = 250;
+        configure(1, content);
+        for (std::size_t i = 0; i < replicas; ++i) {
+            engine(i).setEvents(events, 0);
+            engine(i).setEventInterval(eventInterval);
+        }
+        startNode();
+        awaitReady(node(0));
+    }
+
+    void stallAll()
+    {
+        for (std::size_t i = 0; i < replicas; ++i) {
+            engine(i).stall();
+            press(i).stall();
+        }
+    }
+    void resumeAll()
+    {
+        for (std::size_t i = 0; i < replicas; ++i) {
+            engine(i).resume();
+            press(i).resume();
+        }
+    }
+    /// Asks at once, each call on a connection of its own.
+    std::vector<std::future<http_reply>> begin(
+        const std::string& method, const std::string& target, unsigned count)
+    {
+        std::vector<std::future<http_reply>> replies;
+        for (unsigned i = 0; i < count; ++i) {
+            const http_question asked = question(method, target, method == "POST" ? "prompt" : "");
+            replies.push_back(std::async(std::launch::async, [this, asked] { return ask(node(0), asked); }));
+        }
+        return replies;
+    }
+    /// Whether all streams have an event, and none its last one.
+    void awaitFirstEvents(unsigned count)
+    {
+        BOOST_REQUIRE(waitUntil([&] {
+            return metrics(node(0)).find(
+                       "lycheefront_first_event_seconds_count{service=\"engines\"} " + std::to_string(count))
+                != std::string::npos;
+        }));
+    }
+    static unsigned wholeStreams(std::vector<std::future<http_reply>>& replies)
+    {
+        unsigned whole = 0;
+        for (auto& reply : replies) {
+            const http_reply got = reply.get();
+            whole += got.status == 200 && got.isWhole && got.body == eventsUpTo(events) ? 1 : 0;
+        }
+        return whole;
+    }
+    std::string log() { return node(0).process->log(); }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(silent_servers)
+
+// Guards against ending streams for silence that no retry can replace.
+BOOST_FIXTURE_TEST_CASE(streams_outlast_a_silence_of_all_servers, silent_testbed)
+{
+    auto replies = begin("POST", repeatablePath, streams);
+    awaitFirstEvents(streams);
+    stallAll();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+    resumeAll();
+    BOOST_TEST(wholeStreams(replies) == streams);
+}
+
+// Guards against the same where a configuration comes into force in the middle of the silence.
+BOOST_FIXTURE_TEST_CASE(streams_outlast_a_silence_beside_a_change_of_the_configuration, silent_testbed)
+{
+    auto replies = begin("POST", repeatablePath, streams);
+    awaitFirstEvents(streams);
+    stallAll();
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    configure(2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    resumeAll();
+    BOOST_TEST(wholeStreams(replies) == streams);
+}
+
+// Guards against an error for requests whose answers come late, after a silence of all servers.
+BOOST_FIXTURE_TEST_CASE(answers_come_after_a_silence_of_all_servers, silent_testbed)
+{
+    stallAll();
+    auto replies = begin("GET", "/look/1", lookups);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+    resumeAll();
+    unsigned served = 0;
+    for (auto& reply : replies)
+        served += reply.get().status == 200 ? 1 : 0;
+    BOOST_TEST(served == lookups);
+}
+
+// Guards against the same for streams that have not begun.
+BOOST_FIXTURE_TEST_CASE(streams_begin_after_a_silence_of_all_servers, silent_testbed)
+{
+    stallAll();
+    auto replies = begin("POST", repeatablePath, streams);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+    resumeAll();
+    BOOST_TEST(wholeStreams(replies) == streams);
+}
+
+// Guards against ending the last attempt that the route allows.
+BOOST_FIXTURE_TEST_CASE(last_attempts_outlast_a_silence, silent_testbed)
+{
+    auto replies = begin("POST", path, streams);
+    awaitFirstEvents(streams);
+    stallAll();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+    resumeAll();
+    BOOST_TEST(wholeStreams(replies) == streams);
+}
+
+// Guards against streams that wait for a dark server although a retry at another one is allowed.
+BOOST_FIXTURE_TEST_CASE(streams_of_a_dark_server_go_on_elsewhere, silent_testbed)
+{
+    constexpr unsigned few = 3; // one at each server
+    auto earlier = begin("POST", path, streams); // these earn the retry
+    BOOST_TEST(wholeStreams(earlier) == streams);
+    auto replies = begin("POST", repeatablePath, few);
+    awaitFirstEvents(streams + few);
+    engine(0).stall();
+    BOOST_TEST(wholeStreams(replies) == few);
+    BOOST_TEST(log().find("\"end\":\"silent\"") != std::string::npos);
+}
+
+// Guards against a cut answer that leaves no line with its request and its cause.
+BOOST_FIXTURE_TEST_CASE(a_cut_answer_leaves_a_line, silent_testbed)
+{
+    for (std::size_t i = 0; i < replicas; ++i)
+        engine(i).act(replica_act::StreamCut);
+    for (std::size_t i = 0; i < replicas; ++i)
+        engine(i).setEvents(5, 3);
+    const http_question asked = question("POST", path, "prompt");
+    const http_reply reply = ask(node(0), asked);
+    BOOST_TEST(!reply.isWhole);
+    const std::string line = "\"name\":\"answer_cut\",\"severity\":\"warning\",\"request\":\""
+        + asked.headers.at("Lycheefront-Attempt-Id") + "\",\"cause\":\"server_ended\"";
+    BOOST_TEST(waitUntil([&] { return log().find(line) != std::string::npos; }));
+    BOOST_TEST(
+        metrics(node(0)).find("lycheefront_answers_cut_total{cause=\"server_ended\",service=\"engines\"} 1")
+        != std::string::npos);
+}
+
+// Guards against a process that ends with requests in progress and does not tell which.
+BOOST_FIXTURE_TEST_CASE(requests_that_the_end_of_the_process_cuts_leave_a_line, silent_testbed)
+{
+    auto replies = begin("POST", path, 1);
+    awaitFirstEvents(1);
+    stallAll();
+    node(0).process->sendSignal(SIGTERM);
+    BOOST_TEST(wholeStreams(replies) == 0);
+    BOOST_TEST(waitUntil([&] {
+        return log().find("\"name\":\"answer_cut\"") != std::string::npos
+            && log().find("\"cause\":\"process_end\",\"begun\":\"yes\"") != std::string::npos;
+    }));
+}
+
+// Guards against a process that ends by itself and leaves no line.
+BOOST_FIXTURE_TEST_CASE(a_process_that_ends_by_itself_leaves_a_line, silent_testbed)
+{
+    node(0).process->sendSignal(SIGSEGV);
+    BOOST_TEST(waitUntil([&] { return log().find("\"name\":\"process_failed\"") != std::string::npos; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -19,7 +19,7 @@
 using standins_common::http_request;
 using standins_common::tcp_socket;
 
-constexpr auto betweenEvents = std::chrono::milliseconds(2);
+constexpr auto stallCheckInterval = std::chrono::milliseconds(5);
 // From the arrival of a request that crashes the replica to the crash.
 constexpr auto crashDelay = std::chrono::milliseconds(20);
 constexpr auto downTime = std::chrono::milliseconds(1500);
@@ -105,6 +105,34 @@
     m_cutAt = cutAt;
 }
 
+void replica_standin::setEventInterval(std::chrono::milliseconds interval)
+{
+    const std::lock_guard lock(m_mutex);
+    m_eventInterval = interval;
+}
+
+void replica_standin::stall()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStalled = true;
+}
+
+void replica_standin::resume()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStalled = false;
+}
+
+boost::asio::awaitable<void> replica_standin::whileStalled() const
+{
+    const auto isStalled = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_isStalled;
+    };
+    while (isStalled())
+        co_await standins_common::pauseFor(stallCheckInterval);
+}
+
 void replica_standin::crashOn(std::set<std::string> parts, crash_answer answer)
 {
     const std::lock_guard lock(m_mutex);
@@ -205,6 +233,7 @@
         decoded.isRun = act != replica_act::Shed;
         m_requests.push_back(decoded);
     }
+    co_await whileStalled();
     const std::string mark = "Lycheefront-Response-Signature: " + m_id + ".1\r\n";
     std::string bytes;
     if (isCrashing(decoded)) {
@@ -269,11 +298,13 @@
     unsigned events = 0;
     unsigned cutAt = 0;
     std::string type;
+    std::chrono::milliseconds interval {};
     {
         const std::lock_guard lock(m_mutex);
         events = m_events;
         cutAt = m_cutAt;
         type = m_eventType;
+        interval = m_eventInterval;
     }
     const std::string mark = "Lycheefront-Response-Signature: " + m_id
         + ".1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -283,6 +314,7 @@
     const auto last = request.headers.find("last-event-id");
     const unsigned first = last == request.headers.end() ? 1 : std::stoul(last->second) + 1;
     for (unsigned id = first; id <= events; ++id) {
+        co_await whileStalled();
         std::string event = eventText(id, type);
         if (isCut && id == cutAt) {
             std::string half = chunk(event.substr(0, event.size() / 2));
@@ -292,7 +324,7 @@
         std::string whole = chunk(event);
         if (!co_await standins_common::sendBytes(socket, std::move(whole)))
             co_return false;
-        co_await standins_common::pauseFor(betweenEvents);
+        co_await standins_common::pauseFor(interval);
     }
     std::string end = "0\r\n\r\n";
     co_return co_await standins_common::sendBytes(socket, std::move(end));
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -70,6 +70,11 @@
     void setEventType(std::string type);
     /// Events of a stream, and the one in which StreamCut breaks off.
     void setEvents(unsigned events, unsigned cutAt);
+    /// Time from one event of a stream to the next.
+    void setEventInterval(std::chrono::milliseconds interval);
+    /// From now on it accepts connections and requests, and sends nothing until resume().
+    void stall();
+    void resume();
     /// How a replica answers a request that crashes it.
     enum class crash_answer {
         None,
@@ -98,6 +103,7 @@
     boost::asio::awaitable<bool> sendForever(
         standins_common::tcp_socket& socket, const replica_request& request);
     boost::asio::awaitable<bool> hang(standins_common::tcp_socket& socket);
+    boost::asio::awaitable<void> whileStalled() const;
     boost::asio::awaitable<bool> streamUnframed(
         standins_common::tcp_socket& socket, const replica_request& request, bool isCut);
     /// Whether the prompt has one of the crashing parts before its last one.
@@ -117,6 +123,8 @@
     unsigned m_events = 5;
     unsigned m_cutAt = 3;
     std::string m_eventType;
+    std::chrono::milliseconds m_eventInterval { 2 };
+    bool m_isStalled = false;
     std::optional<unsigned> m_rejectionLimit;
     unsigned m_abandoned = 0;
     std::set<std::string> m_crashingParts;
