An attempt that receives no data is ended only once its replacement is secured

Cause: response_relay::startTimeout asked whether the route may be repeated and aborted the connection; only then the retry budget, maxAttempts or the choice of a server said no. The caller had events, so its answer was cut; before the first event it got 502 for an answer that was on its way.

replacement_search secures the next attempt first: a server of the stream's version that may take the request and is likely to run, an open connection, admission, and right before the abort the retry itself. Otherwise the attempt stays and asks again. The last allowed attempt is not ended. stalled_attempts gives scarce retries to the most urgent and oldest, and takes a silence of most servers for what it is: their host, or the path to them. Why it works: nothing is given up that may still go on, until what follows it is paid and open.

tst_silentservers, red before (0 of 18 streams, 0 of 12 lookups): all whole, also beside a change of the configuration, on the last attempt, and with one dark server. tst_cutoffnodes, tst_gatewayprocess, tst_streamversions, tst_gateway, tst_serverchoice, tst_utils passed.

--- a/src/libs/decisions/silencedetector.cpp
+++ b/src/libs/decisions/silencedetector.cpp
@@ -68,6 +68,15 @@
     return longest;
 }
 
+std::optional<utils::duration> silence_detector::quietFor(
+    const utils::server_id& server, utils::time_point now) const
+{
+    const utils::time_point heardAt = lastHeard(server);
+    if (heardAt == utils::time_point())
+        return std::nullopt;
+    return now - heardAt;
+}
+
 utils::time_point silence_detector::lastHeard(const utils::server_id& server) const
 {
     const auto found = m_servers.find(server);
--- a/src/libs/decisions/silencedetector.h
+++ b/src/libs/decisions/silencedetector.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace decisions {
 
@@ -45,6 +46,9 @@
     /// other nodes have sent there.
     bool isSilent(const utils::server_id& server, utils::time_point now,
         utils::duration peerPrefill = utils::duration::zero()) const;
+    /// Returns the time since data arrived from the server; nothing when no request is in flight there, or
+    /// none has brought data yet.
+    std::optional<utils::duration> quietFor(const utils::server_id& server, utils::time_point now) const;
     /// Returns when data last arrived; the epoch when no request is in flight there.
     utils::time_point lastHeard(const utils::server_id& server) const;
     /// Returns the longest prefill time of the requests whose prefill is not finished.
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -46,6 +46,8 @@
 
     /// Whether another attempt is allowed.
     bool mayRetry() const;
+    /// Whether another attempt would be allowed if the one in flight ended now without a response.
+    bool mayReplace() const { return m_mayRepeat && m_mayHaveRun + 1 < m_maxRuns; }
     /// Whether an attempt now would be a retry for the service.
     bool isRetry() const { return m_sent > 0; }
     /// Whether an attempt with this outcome sent bytes to a server.
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -23,6 +23,7 @@
 #include "decisions/serverreachability.h"
 #include "decisions/servicewindow.h"
 #include "decisions/silencedetector.h"
+#include "decisions/stalledattempts.h"
 #include "decisions/versionhistory.h"
 #include "decisions/viewlag.h"
 
@@ -62,6 +63,7 @@
     decisions::rejection_limiter rejections;
     decisions::recent_failures failures;
     decisions::silence_detector silence;
+    decisions::stalled_attempts stalls; ///< of this node's attempts at backend servers
     std::map<std::string, decisions::response_times> responseTimes; ///< by service
     std::map<std::string, decisions::load_shedder> shedders; ///< by service
     decisions::loop_delay loopDelay; ///< of this node's event loop
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -63,6 +63,8 @@
         = counters("lycheefront_forwarded_requests_total", "Requests forwarded to peers, by service and end");
     counter_family& cutAnswers = counters("lycheefront_answers_cut_total",
         "Responses of which callers received only the beginning, by service and cause");
+    counter_family& stalls = counters("lycheefront_attempts_stalled_total",
+        "Attempts that receive no data and are not replaced, by service and reason");
     prometheus::Counter& closedUnread = counters("lycheefront_connections_closed_unread_total",
         "Callers' connections closed unread, since this node has more than it can do and others have less")
                                             .Add({});
@@ -174,6 +176,11 @@
     d->cutAnswers.Add({ { "service", str(service) }, { "cause", str(toString(cause)) } }).Increment();
 }
 
+void node_metrics::countStall(std::string_view service, decisions::stall_reason reason)
+{
+    d->stalls.Add({ { "service", str(service) }, { "reason", str(toString(reason)) } }).Increment();
+}
+
 void node_metrics::countForward(std::string_view service, attempt_outcome end)
 {
     d->forwards.Add({ { "service", str(service) }, { "end", str(toString(end)) } }).Increment();
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -4,6 +4,8 @@
 #include "cutanswer.h"
 #include "store.h"
 
+#include "decisions/stalledattempts.h"
+
 #include "utils/errorkind.h"
 #include "utils/time.h"
 
@@ -70,6 +72,8 @@
     void countClosedUnread();
     /// Counts a response of which the caller received only the beginning.
     void countCutAnswer(std::string_view service, cut_cause cause);
+    /// Counts that an attempt that receives no data is not replaced for that reason.
+    void countStall(std::string_view service, decisions::stall_reason reason);
     /// Counts an attempt by way of a peer.
     void countForward(std::string_view service, attempt_outcome end);
     void countStoreCall(store_call call, store_status status);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -50,7 +50,10 @@
         , m_record(plan.route->mayRepeat(), plan.route->maxAttempts)
         , m_requestNumber(context.nextRequestNumber++)
         , m_tracker(context, plan, m_requestNumber)
-        , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_result, m_streams })
+        , m_replacement({ context, services.forwarder, services.crashes, request, plan, m_record, m_tracker,
+              m_result, m_triedServers, m_triedPeers, m_requestNumber })
+        , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_replacement, m_result,
+              m_streams })
     {
     }
 
@@ -67,8 +70,11 @@
             if (m_result.isViewTooOld)
                 break;
             bool mayGoOn = false;
-            if (const std::optional<forward_target> peer = choosePeer())
-                mayGoOn = co_await tryPeer(*peer);
+            std::optional<secured_attempt> secured = m_replacement.takeSecured();
+            if (secured && m_admission == crash_admission::Send)
+                mayGoOn = co_await trySecured(std::move(*secured));
+            else if (const std::optional<forward_target> peer = choosePeer())
+                mayGoOn = co_await tryPeer(*peer, nullptr);
             else if (m_admission == crash_admission::Wait)
                 mayGoOn = co_await waitForVerdict();
             else
@@ -151,7 +157,7 @@
     }
 
     /// Makes one attempt by way of a peer. Returns whether another attempt may follow.
-    boost::asio::awaitable<bool> tryPeer(forward_target peer)
+    boost::asio::awaitable<bool> tryPeer(forward_target peer, http_connection_ptr connection)
     {
         m_triedPeers.insert(peer.node);
         m_result.server = {};
@@ -159,7 +165,7 @@
         m_result.forwardedTo = peer.node;
         const utils::time_point startedAt = now();
         m_forwarder.began(peer);
-        m_result.lastOutcome = co_await forwardTo(peer);
+        m_result.lastOutcome = co_await forwardTo(peer, std::move(connection));
         m_forwarder.ended(peer);
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
@@ -182,9 +188,11 @@
         return refusal == utils::error_kind::QueueFull || refusal == utils::error_kind::DeadlineUnreachable;
     }
 
-    boost::asio::awaitable<attempt_outcome> forwardTo(const forward_target& peer)
+    boost::asio::awaitable<attempt_outcome> forwardTo(
+        const forward_target& peer, http_connection_ptr connection)
     {
-        http_connection_ptr connection = m_forwarder.takeConnection(peer, now());
+        if (!connection)
+            connection = m_forwarder.takeConnection(peer, now());
         if (connection) {
             m_scope->setConnection(connection);
         } else {
@@ -231,19 +239,34 @@
             const std::optional<forward_target> peer = mayAskPeer ? nextPeer() : std::nullopt;
             if (!peer)
                 co_return false;
-            co_return co_await tryPeer(*peer);
+            co_return co_await tryPeer(*peer, nullptr);
         }
-        m_result.placement = *placement;
-        m_result.server = placement->server;
-        m_result.serverVersion = versionOf(placement->server);
+        co_return co_await tryPlacement(*placement, nullptr);
+    }
+
+    /// Makes the attempt that replaces one which received no data.
+    boost::asio::awaitable<bool> trySecured(secured_attempt secured)
+    {
+        if (secured.peer)
+            co_return co_await tryPeer(*secured.peer, std::move(secured.connection));
+        m_isRetryPaid = true;
+        co_return co_await tryPlacement(*secured.placement, std::move(secured.connection));
+    }
+
+    /// Makes one attempt at the chosen server; `connection`: an open one, or null.
+    boost::asio::awaitable<bool> tryPlacement(decisions::placement placement, http_connection_ptr connection)
+    {
+        m_result.placement = placement;
+        m_result.server = placement.server;
+        m_result.serverVersion = versionOf(placement.server);
         m_result.forwardedTo.clear();
         if (m_record.attempts() == 0)
-            m_result.refused = refuseOverload(m_context, m_request, m_plan, *placement, now());
+            m_result.refused = refuseOverload(m_context, m_request, m_plan, placement, now());
         if (m_result.refused)
             co_return false;
-        m_triedServers.insert(placement->server);
+        m_triedServers.insert(placement.server);
         const utils::time_point startedAt = now();
-        m_result.lastOutcome = co_await tryServer(placement->server);
+        m_result.lastOutcome = co_await tryServer(placement.server, std::move(connection));
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
         recordSent();
@@ -318,9 +341,12 @@
         return attempt;
     }
 
-    boost::asio::awaitable<attempt_outcome> tryServer(utils::server_id server)
+    boost::asio::awaitable<attempt_outcome> tryServer(utils::server_id server, http_connection_ptr connection)
     {
-        const http_connection_ptr connection = co_await openConnection(server);
+        if (connection)
+            m_scope->setConnection(connection);
+        else
+            connection = co_await openConnection(server);
         if (!connection)
             co_return attempt_outcome::NotSent;
         if (m_scope->checkDeadline(now()) != stop_reason::None) {
@@ -356,6 +382,7 @@
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
         m_relay.startTimeout(firstResponseTimeout(m_plan));
         const attempt_outcome outcome = co_await m_relay.exchange(server, version, connection);
+        m_replacement.attemptEnded();
         m_tracker.end(outcome, m_result.status, now());
         m_scope->setConnection(nullptr);
         if (outcome == attempt_outcome::Answered || outcome == attempt_outcome::NotRun
@@ -406,7 +433,7 @@
             repeats.forwarded(now());
             return true;
         }
-        return repeats.trySpend(now());
+        return std::exchange(m_isRetryPaid, false) || repeats.trySpend(now());
     }
 
     /// Returns the prompt tokens that the chosen server must prefill: those that it neither has in its KV
@@ -516,6 +543,8 @@
     utils::duration m_waitedForVerdict {};
     flow_result m_result;
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
+    bool m_isRetryPaid = false; ///< the next retry was taken from the budget already
+    replacement_search m_replacement;
     response_relay<Wire> m_relay;
 };
 
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requestlog.cpp
@@ -120,6 +120,16 @@
     utils::logEvent(utils::event::RequestRefused, fields);
 }
 
+void logStalledAttempt(const client_request& request, const stalled_attempt& attempt)
+{
+    utils::logEvent(utils::event::AttemptStalled,
+        { { "request", request.requestId }, { "server", attempt.server.str() },
+            { "reason", std::string(decisions::toString(attempt.reason)) },
+            { "silent_ms", millisecondsText(attempt.silentFor) },
+            { "repeats_left", std::to_string(static_cast<int>(attempt.repeatsLeft)) },
+            { "stalled", std::to_string(attempt.stalls) } });
+}
+
 void logCutAnswer(const node_context& context, const client_request& request, const request_plan& plan,
     const flow_result& result, utils::time_point now)
 {
--- a/src/libs/gateway/requestlog.h
+++ b/src/libs/gateway/requestlog.h
@@ -34,6 +34,17 @@
 /// Logs how a request ended and the values that decided it.
 void logRequest(const node_context& context, const client_request& request, const request_plan& plan,
     const flow_result& result, utils::time_point now);
+/// What is logged of an attempt that receives no data and is not replaced.
+struct stalled_attempt {
+    utils::server_id server;
+    decisions::stall_reason reason {};
+    utils::duration silentFor {};
+    double repeatsLeft = 0; ///< left in the service's budget on this node
+    std::size_t stalls = 0; ///< attempts of this node that receive no data
+};
+
+/// Logs that an attempt receives no data, and why it stays.
+void logStalledAttempt(const client_request& request, const stalled_attempt& attempt);
 /// Logs that the caller received only the beginning of a response, and why nothing replaced it.
 void logCutAnswer(const node_context& context, const client_request& request, const request_plan& plan,
     const flow_result& result, utils::time_point now);
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -6,6 +6,7 @@
 #include "eventscanner.h"
 #include "flowresult.h"
 #include "forwardhop.h"
+#include "replacementsearch.h"
 #include "responsewriter.h"
 #include "stopscope.h"
 #include "streamdirectory.h"
@@ -28,6 +29,7 @@
         response_writer& writer;
         const attempt_record& record;
         attempt_tracker& tracker;
+        replacement_search& replacement;
         flow_result& result;
         stream_directory& streams;
     };
@@ -40,22 +42,26 @@
         , m_writer(dependencies.writer)
         , m_record(dependencies.record)
         , m_tracker(dependencies.tracker)
+        , m_replacement(dependencies.replacement)
         , m_result(dependencies.result)
         , m_streams(dependencies.streams)
         , m_scanner(dependencies.request.lastEventId)
     {
     }
 
-    /// Ends the attempt when no data arrives for `limit`, unless the request cannot be retried on another
-    /// server.
+    /// Ends the attempt when no data arrives for `limit` and its replacement is secured. The last attempt
+    /// that the route allows is not ended: its server may go on, and nothing else can bring the response.
     void startTimeout(utils::duration limit)
     {
         // A peer retries on other servers by itself.
-        if (!mayRetryElsewhere(m_plan) || m_isFromPeer)
+        if (!m_record.mayReplace() || m_isFromPeer)
             return;
         m_tracker.restartTimeout(now());
         m_scope->setTimeoutCheck(
-            [this, limit](utils::time_point present) { return m_tracker.timeoutAt(limit, present); }, now());
+            [this, limit](utils::time_point present) {
+                return m_replacement.nextCheck(m_tracker.timeoutAt(limit, present), present);
+            },
+            now());
     }
 
     /// Reads the response to the request that was just sent to a server of that software version and forwards
@@ -376,6 +382,7 @@
     response_writer& m_writer;
     const attempt_record& m_record;
     attempt_tracker& m_tracker;
+    replacement_search& m_replacement;
     flow_result& m_result;
     stream_directory& m_streams;
     event_scanner m_scanner;
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -53,6 +53,8 @@
         event::AttemptFailed, Info, "attempt_failed", "An attempt at a backend server got no answer" },
     event_info { event::AnswerCut, Warning, "answer_cut",
         "The connection of a caller ended before its response was complete" },
+    event_info { event::AttemptStalled, Info, "attempt_stalled",
+        "An attempt at a backend server receives no data and is not replaced" },
     event_info { event::ServerFailure, Warning, "server_failure", "A backend server failed a request" },
     event_info {
         event::ServerCrashed, Warning, "server_crashed", "A backend server crashed with requests in flight" },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -45,6 +45,7 @@
     RequestRefused = 4002,
     AttemptFailed = 4003,
     AnswerCut = 4004,
+    AttemptStalled = 4005,
     ServerFailure = 6001,
     ServerCrashed = 6002,
     ServiceCutOff = 6003,
