A request that may have run waits for a retry instead of giving up at once

The request waits for up to a second, half of its target at most, in the same order as stalled attempts.

--- a/src/libs/gateway/replacementsearch.cpp
+++ b/src/libs/gateway/replacementsearch.cpp
@@ -53,20 +53,12 @@
     if (m_secured)
         return std::nullopt;
     context.reachability.suspected(plan.service, m_dependencies.result.server);
-    if (!std::exchange(m_isStalled, true)) {
-        const utils::time_point since = now - m_dependencies.tracker.silentFor(now);
-        context.stalls.stalled(plan.service, m_dependencies.number, plan.urgency, since);
-    }
+    const std::optional<stall_reason> noRetry = awaitRetry(now);
     if (!isAdmitted(now))
         return stall_reason::NotAdmitted;
     const bool isCutOff = context.reachability.isCutOff(plan.service);
-    if (!isCutOff) {
-        const double left = context.repeatsOf(plan.service).left(now);
-        if (left < 1)
-            return stall_reason::NoRetryLeft;
-        if (!context.stalls.mayRetry(m_dependencies.number, left))
-            return stall_reason::OthersFirst;
-    }
+    if (!isCutOff && noRetry)
+        return noRetry;
     if (m_candidate && m_candidate->peer.has_value() != isCutOff)
         abandonConnection();
     if (!m_candidate) {
@@ -77,6 +69,30 @@
     return connect(now);
 }
 
+std::optional<stall_reason> replacement_search::awaitRetry(utils::time_point now)
+{
+    node_context& context = m_dependencies.context;
+    const request_plan& plan = m_dependencies.plan;
+    if (!std::exchange(m_isStalled, true)) {
+        const utils::time_point since = now - m_dependencies.tracker.silentFor(now);
+        context.stalls.stalled(plan.service, m_dependencies.number, plan.urgency, since);
+    }
+    const double left = context.repeatsOf(plan.service).left(now);
+    if (left < 1)
+        return stall_reason::NoRetryLeft;
+    if (!context.stalls.mayRetry(m_dependencies.number, left))
+        return stall_reason::OthersFirst;
+    return std::nullopt;
+}
+
+bool replacement_search::mayRetry(utils::time_point now)
+{
+    const std::optional<stall_reason> noRetry = awaitRetry(now);
+    if (noRetry)
+        record(*noRetry, now);
+    return !noRetry;
+}
+
 std::optional<stall_reason> replacement_search::chooseServerCandidate(utils::time_point now)
 {
     const std::set<utils::server_id> excluded = excludedServers(now);
--- a/src/libs/gateway/replacementsearch.h
+++ b/src/libs/gateway/replacementsearch.h
@@ -53,7 +53,10 @@
     /// Returns when to look at the attempt again. `due`: when it has received no data for too long, as known
     /// at `now`. Returns `now` if the attempt is to be ended, since its replacement is secured.
     utils::time_point nextCheck(utils::time_point due, utils::time_point now);
-    /// The attempt in flight has ended. What was secured stays until takeSecured().
+    /// Whether the budget has a retry for this request, before others that wait for one. Until attemptEnded()
+    /// the request counts among these.
+    bool mayRetry(utils::time_point now);
+    /// The attempt in flight has ended, or the wait for a retry. What was secured stays until takeSecured().
     void attemptEnded();
     /// Returns what was secured, once.
     std::optional<secured_attempt> takeSecured();
@@ -75,6 +78,8 @@
 
     /// Returns nothing if a replacement is secured, else why not.
     std::optional<decisions::stall_reason> trySecure(utils::time_point now);
+    /// Records that the request waits for a retry; returns nothing if it may have one, else why not.
+    std::optional<decisions::stall_reason> awaitRetry(utils::time_point now);
     std::optional<decisions::stall_reason> chooseServerCandidate(utils::time_point now);
     std::optional<decisions::stall_reason> choosePeerCandidate(utils::time_point now);
     std::optional<decisions::stall_reason> connect(utils::time_point now);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -17,6 +17,7 @@
 #include "wire/connect.h"
 #include "wire/task.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <set>
@@ -77,6 +78,8 @@
                 mayGoOn = co_await tryPeer(*peer, nullptr);
             else if (m_admission == crash_admission::Wait)
                 mayGoOn = co_await waitForVerdict();
+            else if (mustWaitForRetry())
+                mayGoOn = co_await waitForRetry();
             else
                 mayGoOn = co_await tryNextServer();
             m_crashes.finished(m_requestNumber);
@@ -133,10 +136,37 @@
         constexpr utils::duration pause = std::chrono::milliseconds(20);
         m_waitedForVerdict += pause;
         boost::asio::steady_timer timer(m_context.executor, pause);
-        co_await timer.async_wait(boost::asio::use_awaitable);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         co_return m_waitedForVerdict < m_plan.route->targetLatency;
     }
 
+    /// Whether the next attempt is a retry for which the budget has nothing left yet. The requests that
+    /// arrive meanwhile earn one within a moment. A request that has provably not run is refused at once
+    /// instead: its caller may send it again.
+    bool mustWaitForRetry()
+    {
+        const utils::duration limit = std::min(maxWaitForRetry, m_plan.route->targetLatency / 2);
+        const bool mayWait = m_record.isRetry() && !m_record.hasProvablyNotRun() && !m_isRetryPaid
+            && m_waitedForRetry < limit;
+        if (!mayWait) {
+            m_replacement.attemptEnded();
+            return false;
+        }
+        if (!m_replacement.mayRetry(now()))
+            return true;
+        m_replacement.attemptEnded();
+        return false;
+    }
+
+    boost::asio::awaitable<bool> waitForRetry()
+    {
+        constexpr utils::duration pause = std::chrono::milliseconds(20);
+        m_waitedForRetry += pause;
+        boost::asio::steady_timer timer(m_context.executor, pause);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_return true;
+    }
+
     /// Whether the caller has events from a peer that does not tell their version.
     bool hasEventsOfUnknownVersion() const { return m_relay.eventCount() > 0 && !m_result.streamVersion; }
 
@@ -313,7 +343,7 @@
         constexpr utils::duration pause = decisions::rejection_limiter::window / 2;
         m_waitedForRoom += pause;
         boost::asio::steady_timer timer(m_context.executor, pause);
-        co_await timer.async_wait(boost::asio::use_awaitable);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
     }
 
     void recordViewAge()
@@ -520,6 +550,8 @@
 
     // Three windows of the draw leave few nodes without a server.
     static constexpr utils::duration maxWaitForRoom = 3 * decisions::rejection_limiter::window;
+    // A node earns some retries a second; longer waits find no server that is better than now.
+    static constexpr utils::duration maxWaitForRetry = std::chrono::seconds(1);
     // Attempts that could not connect before the next one goes to a peer.
     static constexpr unsigned unsentBeforeForward = 2;
 
@@ -538,6 +570,7 @@
     std::set<std::string> m_triedPeers;
     utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
     utils::duration m_waitedForRoom {};
+    utils::duration m_waitedForRetry {};
     crash_admission m_admission = crash_admission::Send;
     std::optional<std::uint64_t> m_suspectPart; ///< with SendAlone
     utils::duration m_waitedForVerdict {};
--- a/tests/auto/gateway/tst_silentservers.cpp
+++ b/tests/auto/gateway/tst_silentservers.cpp
@@ -158,6 +158,25 @@
     BOOST_TEST(log().find("\"end\":\"silent\"") != std::string::npos);
 }
 
+// Guards against giving a stream up for lack of a retry that the next requests earn.
+BOOST_FIXTURE_TEST_CASE(a_cut_stream_waits_for_a_retry, silent_testbed)
+{
+    configuration_content content;
+    content.latencyMs = 2000;
+    configure(2, content);
+    BOOST_REQUIRE(waitUntil(
+        [&] { return metrics(node(0)).find("lycheefront_configuration_version 2") != std::string::npos; }));
+    for (std::size_t i = 0; i < replicas; ++i) {
+        engine(i).setEvents(events, 3);
+        engine(i).act(replica_act::StreamCutOnce);
+    }
+    auto replies = begin("POST", repeatablePath, 1);
+    BOOST_REQUIRE(waitUntil([&] { return log().find("\"end\":\"cut\"") != std::string::npos; }));
+    auto others = begin("POST", path, streams); // each earns a part of a retry
+    BOOST_TEST(wholeStreams(replies) == 1);
+    BOOST_TEST(wholeStreams(others) == 0);
+}
+
 // Guards against a cut answer that leaves no line with its request and its cause.
 BOOST_FIXTURE_TEST_CASE(a_cut_answer_leaves_a_line, silent_testbed)
 {
