--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -341,6 +341,49 @@
     BOOST_TEST(pressRequests() == before + 1);
 }
 
+// Guards against a stream that is cut because the configuration has changed since it began, when it has to go
+// on by way of a peer.
+BOOST_AUTO_TEST_CASE(streams_from_before_a_change_of_the_configuration_go_on_by_way_of_a_peer)
+{
+    constexpr double retriesPerRequest = 4;
+    cut_testbed world(retriesPerRequest);
+    configuration_content content;
+    content.latencyMs = 500;
+    content.gapMs = 250;
+    const auto putInForce = [&](unsigned version) {
+        world.configure(version, content);
+        for (std::size_t i = 0; i < world.nodeCount(); ++i)
+            BOOST_REQUIRE(waitUntil([&] {
+                return world.metrics(world.node(i))
+                           .find("lycheefront_configuration_version " + std::to_string(version))
+                    != std::string::npos;
+            }));
+    };
+    putInForce(2);
+    for (std::size_t i = 0; i < replicas; ++i)
+        world.engine(i).setEventInterval(std::chrono::milliseconds(150));
+    constexpr std::size_t streams = 6;
+    std::vector<std::future<http_reply>> replies;
+    for (std::size_t i = 0; i < streams; ++i) {
+        const http_question chat = world.question("POST", "/chat/1", std::to_string(i));
+        replies.push_back(
+            std::async(std::launch::async, [&world, chat] { return world.ask(world.node(0), chat); }));
+    }
+    BOOST_REQUIRE(waitUntil([&] {
+        return world.metrics(world.node(0))
+                   .find("lycheefront_first_event_seconds_count{service=\"engines\"} "
+                       + std::to_string(streams))
+            != std::string::npos;
+    }));
+    putInForce(3);
+    world.setPaths(link_state::Lost);
+    for (auto& reply : replies) {
+        const http_reply got = reply.get();
+        BOOST_TEST((got.status == 200 && got.isWhole && got.body == eventsUpTo(events)));
+    }
+    BOOST_TEST(world.node(0).process->log().find("forwarded_to") != std::string::npos);
+}
+
 // Guards against a "not run" for a request that a peer may have run, and against a refusal of a peer that
 // says less than it knows.
 BOOST_FIXTURE_TEST_CASE(callers_are_told_what_the_peer_knows_of_their_request, cut_testbed)
