A node pays for the retries that it forwards to a peer

Callers of a node that is cut off got 502, or a cut stream, where the peer had no retry left: the peer paid for the retry, although the requests that earn retries were sent by the entry node. The entry node takes the retry from its own budget, before it gives anything up, and says so in the hop. A peer of the build before refuses a hop with the mark; it would pay a second time. tst_forwardhop: round trips with the mark, malformed marks.

--- a/src/libs/gateway/forwardhop.cpp
+++ b/src/libs/gateway/forwardhop.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr char separator = '-';
+constexpr std::string_view paidMark = "-p";
 constexpr int hexadecimal = 16;
 
 /// Takes one number and the separator behind it; nothing if there is no number.
@@ -42,6 +43,9 @@
         text += separator + hex(hop.earlierSent);
     if (hop.streamVersion)
         text += separator + hex(*hop.streamVersion);
+    // Builds that do not know the mark must not take the request: they would pay for it a second time.
+    if (hop.isRetryPaid)
+        text += paidMark;
     return text;
 }
 
@@ -58,6 +62,9 @@
 
 std::optional<forward_hop> decodeHop(std::string_view text)
 {
+    const bool isRetryPaid = text.ends_with(paidMark);
+    if (isRetryPaid)
+        text.remove_suffix(paidMark.size());
     if (text.ends_with(separator))
         return std::nullopt;
     const auto receiver = takeNumber<std::uint64_t>(text);
@@ -68,7 +75,7 @@
     const auto sent = text.empty() ? runs : takeNumber<unsigned>(text);
     if (!sent || *sent < *runs)
         return std::nullopt;
-    forward_hop hop { *receiver, *version, *runs, *sent };
+    forward_hop hop { *receiver, *version, *runs, *sent, {}, isRetryPaid };
     if (text.empty())
         return hop;
     hop.streamVersion = takeNumber<std::uint64_t>(text);
--- a/src/libs/gateway/forwardhop.h
+++ b/src/libs/gateway/forwardhop.h
@@ -13,8 +13,9 @@
     /// Boot id of the receiving process. Only nodes know it, from heartbeats: it shows that the request comes
     /// from one, and that it is meant for this process.
     std::uint64_t receiver = 0;
-    /// The forwarding node has planned the request by this version. Another version may decide otherwise, and
-    /// the configuration must not go back for the callers of any node.
+    /// The forwarding node has planned the request by this version. A receiver that has an older one refuses:
+    /// the configuration must not go back for the callers of any node. A newer one holds for what is sent
+    /// from now on, also for a stream that began before it.
     std::uint64_t configurationVersion = 0;
     unsigned earlierRuns = 0; ///< attempts so far that may have run the request
     /// Attempts so far that reached servers, at least `earlierRuns`. Those that servers rejected have not
@@ -22,6 +23,8 @@
     unsigned earlierSent = 0;
     /// The software version at which the stream began; only servers of that version may go on with it.
     std::optional<std::uint64_t> streamVersion {};
+    /// The forwarding node has taken the receiver's first attempt, a retry, from its own budget.
+    bool isRetryPaid = false;
 };
 
 /// Name of the header line; a line of this name from a caller is dropped.
--- a/src/libs/gateway/replacementsearch.cpp
+++ b/src/libs/gateway/replacementsearch.cpp
@@ -57,7 +57,7 @@
     if (!isAdmitted(now))
         return stall_reason::NotAdmitted;
     const bool isCutOff = context.reachability.isCutOff(plan.service);
-    if (!isCutOff && noRetry)
+    if (noRetry)
         return noRetry;
     if (m_candidate && m_candidate->peer.has_value() != isCutOff)
         abandonConnection();
@@ -189,9 +189,9 @@
             abandonConnection();
             return stall_reason::NoServer;
         }
-        if (!context.repeatsOf(plan.service).trySpend(now))
-            return stall_reason::NoRetryLeft;
     }
+    if (!context.repeatsOf(plan.service).trySpend(now))
+        return stall_reason::NoRetryLeft;
     m_secured
         = secured_attempt { m_candidate->placement, m_candidate->peer, std::move(m_pending->connection) };
     m_pending.reset();
--- a/src/libs/gateway/replacementsearch.h
+++ b/src/libs/gateway/replacementsearch.h
@@ -15,9 +15,9 @@
 
 namespace gateway {
 
-/// The next attempt of a request, with an open connection for it.
+/// The next attempt of a request, with an open connection for it. Its retry is paid.
 struct secured_attempt {
-    std::optional<decisions::placement> placement; ///< at a backend server; its retry is paid
+    std::optional<decisions::placement> placement; ///< at a backend server
     std::optional<forward_target> peer; ///< or by way of this peer
     http_connection_ptr connection;
 };
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -60,8 +60,10 @@
 
     boost::asio::awaitable<flow_result> run()
     {
-        if (m_request.hop)
+        if (m_request.hop) {
             m_record.addEarlier(m_request.hop->earlierRuns, m_request.hop->earlierSent);
+            m_isRetryPaid = m_request.hop->isRetryPaid;
+        }
         m_context.rejections.recordArrival(m_plan.service, now());
         if (admit())
             co_await findOrigin();
@@ -74,12 +76,12 @@
             std::optional<secured_attempt> secured = m_replacement.takeSecured();
             if (secured && m_admission == crash_admission::Send)
                 mayGoOn = co_await trySecured(std::move(*secured));
+            else if (mustWaitForRetry())
+                mayGoOn = co_await waitForRetry();
             else if (const std::optional<forward_target> peer = choosePeer())
                 mayGoOn = co_await tryPeer(*peer, nullptr);
             else if (m_admission == crash_admission::Wait)
                 mayGoOn = co_await waitForVerdict();
-            else if (mustWaitForRetry())
-                mayGoOn = co_await waitForRetry();
             else
                 mayGoOn = co_await tryNextServer();
             m_crashes.finished(m_requestNumber);
@@ -194,8 +196,12 @@
         m_result.serverVersion.clear();
         m_result.forwardedTo = peer.node;
         const utils::time_point startedAt = now();
+        // This node pays for its retries. A peer that gets few requests of its own has earned none.
+        const bool isRetry = m_record.isRetry();
+        const bool isPaid = !isRetry || spendRetryBudget();
         m_forwarder.began(peer);
-        m_result.lastOutcome = co_await forwardTo(peer, std::move(connection));
+        m_result.lastOutcome
+            = isPaid ? co_await forwardTo(peer, std::move(connection), isRetry) : attempt_outcome::NoRepeat;
         m_forwarder.ended(peer);
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
@@ -204,6 +210,7 @@
         const std::optional<utils::error_kind> failure = m_relay.peerFailure();
         const bool isUnsent = m_result.lastOutcome == attempt_outcome::NotRun && !isOverload(*failure);
         m_record.addForwarded(m_result.lastOutcome, !isUnsent);
+        m_isRetryPaid = isRetry && (isUnsent || m_result.lastOutcome == attempt_outcome::NotSent);
         if (!failure)
             co_return true;
         m_lastRefusal = *failure;
@@ -219,7 +226,7 @@
     }
 
     boost::asio::awaitable<attempt_outcome> forwardTo(
-        const forward_target& peer, http_connection_ptr connection)
+        const forward_target& peer, http_connection_ptr connection, bool isRetryPaid)
     {
         if (!connection)
             connection = m_forwarder.takeConnection(peer, now());
@@ -239,7 +246,7 @@
         request.callerTimeLeft = std::max(utils::duration::zero(), m_plan.callerDeadline - now());
         request.lastEventId = m_relay.lastEventId();
         const forward_hop hop { peer.bootId, m_plan.configuration->version, m_record.possibleRuns(),
-            m_record.sent(), m_result.streamVersion };
+            m_record.sent(), m_result.streamVersion, isRetryPaid };
         const header_line line { std::string(forwardHopHeader), encodeHop(hop) };
         std::string head = Wire::encodeForward(m_request, request, line);
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
@@ -277,9 +284,9 @@
     /// Makes the attempt that replaces one which received no data.
     boost::asio::awaitable<bool> trySecured(secured_attempt secured)
     {
+        m_isRetryPaid = true;
         if (secured.peer)
             co_return co_await tryPeer(*secured.peer, std::move(secured.connection));
-        m_isRetryPaid = true;
         co_return co_await tryPlacement(*secured.placement, std::move(secured.connection));
     }
 
--- a/tests/auto/gateway/tst_forwardhop.cpp
+++ b/tests/auto/gateway/tst_forwardhop.cpp
@@ -17,7 +17,8 @@
     constexpr std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
     for (const forward_hop& hop : { forward_hop { 0x1f2e, 40, 0, 0 }, forward_hop { 0x1f2e, 40, 0, 2 },
              forward_hop { largest, largest, 3, 3 }, forward_hop { 0x1f2e, 40, 1, 1, 0x2a },
-             forward_hop { 0x1f2e, 40, 0, 2, largest } }) {
+             forward_hop { 0x1f2e, 40, 0, 2, largest }, forward_hop { 0x1f2e, 40, 1, 1, {}, true },
+             forward_hop { 0x1f2e, 40, 1, 2, 0x2a, true } }) {
         const auto read = decodeHop(encodeHop(hop));
         BOOST_REQUIRE(read.has_value());
         BOOST_TEST(read->receiver == hop.receiver);
@@ -25,6 +26,7 @@
         BOOST_TEST(read->earlierRuns == hop.earlierRuns);
         BOOST_TEST(read->earlierSent == hop.earlierSent);
         BOOST_TEST((read->streamVersion == hop.streamVersion));
+        BOOST_TEST(read->isRetryPaid == hop.isRetryPaid);
     }
 }
 
@@ -47,7 +49,8 @@
 BOOST_AUTO_TEST_CASE(malformed_hops_are_not_read)
 {
     for (const std::string text : { "", "-", "1", "1-2", "1-2-", "1-2-x", "1-2-3-", "1-2-3-2", "1-2-3-4-5-6",
-             "1-2-3-4-", "1-2-3-4-x", "-1-2", "1--2", "1 -2-3", "0x1-2-3", "11111111111111111-2-3" })
+             "1-2-3-4-", "1-2-3-4-x", "-p", "1-2-p", "1-2-3-p-p", "1-2-3-pp", "-1-2", "1--2", "1 -2-3",
+             "0x1-2-3", "11111111111111111-2-3" })
         BOOST_TEST(!decodeHop(text).has_value(), text);
 }
 
