--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -184,8 +184,8 @@
 {
     if (!context.configuration)
         return utils::fail(error_kind::NodeNotCurrent, "no configuration is in force here yet");
-    if (request.hop && request.hop->configurationVersion != context.configuration->version)
-        return utils::fail(error_kind::NodeNotCurrent, "the forwarding node has another configuration");
+    if (request.hop && request.hop->configurationVersion > context.configuration->version)
+        return utils::fail(error_kind::NodeNotCurrent, "the forwarding node has a newer configuration");
     request_plan plan;
     plan.configuration = context.configuration;
     plan.route = plan.configuration->findRoute(request.host, request.target);
