Stalled attempts go by way of peers that hear of the service

Callers of streams were cut where all nodes lost all servers at once: a node that found itself cut off handed its stalled streams to peers that had lost the same servers and did not know it yet; four connections of 400 ms failed there, the answer was 502. The form of the heartbeat is the same. tst_gateway with tst_peerforwarder, tst_cutoffnodes, tst_silentservers, tst_serverchoice passed.

--- a/src/libs/decisions/silencedetector.cpp
+++ b/src/libs/decisions/silencedetector.cpp
@@ -77,6 +77,20 @@
     return now - heardAt;
 }
 
+std::vector<silence_detector::quiet_time> silence_detector::quietTimes(utils::time_point now) const
+{
+    std::vector<quiet_time> times;
+    for (const auto& [server, state] : m_servers) {
+        if (state.waiting.empty())
+            continue;
+        const bool hasSentData = state.heardAt != utils::time_point();
+        const auto first = std::ranges::min_element(
+            state.waiting, {}, [](const auto& entry) { return entry.second.sentAt; });
+        times.push_back({ server, now - (hasSentData ? state.heardAt : first->second.sentAt), hasSentData });
+    }
+    return times;
+}
+
 utils::time_point silence_detector::lastHeard(const utils::server_id& server) const
 {
     const auto found = m_servers.find(server);
--- a/src/libs/decisions/silencedetector.h
+++ b/src/libs/decisions/silencedetector.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace decisions {
 
@@ -49,6 +50,14 @@
     /// Returns the time since data arrived from the server; nothing when no request is in flight there, or
     /// none has brought data yet.
     std::optional<utils::duration> quietFor(const utils::server_id& server, utils::time_point now) const;
+    /// How long nothing has arrived from a server where requests are in flight.
+    struct quiet_time {
+        utils::server_id server;
+        utils::duration time {}; ///< since its last data, or since the first of these requests was sent
+        bool hasSentData = false;
+    };
+    /// Returns the quiet times of all servers where requests are in flight.
+    std::vector<quiet_time> quietTimes(utils::time_point now) const;
     /// Returns when data last arrived; the epoch when no request is in flight there.
     utils::time_point lastHeard(const utils::server_id& server) const;
     /// Returns the longest prefill time of the requests whose prefill is not finished.
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -24,6 +24,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace gateway {
 
@@ -315,9 +316,16 @@
         heartbeat.dataCentre = m_context.options.dataCentre;
         heartbeat.forwardPort = m_context.options.forwardPort;
         heartbeat.requestsInProgress = static_cast<std::uint32_t>(m_context.requestsInProgress);
-        for (std::string& service : m_context.reachability.cutOffServices()) {
+        // Where all nodes have lost a service, those that hear nothing of it must not be asked to help before
+        // their own connections fail.
+        std::set<std::string> unreachable;
+        for (std::string& service : m_context.reachability.cutOffServices())
+            unreachable.insert(std::move(service));
+        for (std::string& service : m_context.quietServices(present))
+            unreachable.insert(std::move(service));
+        for (const std::string& service : unreachable) {
             if (heartbeat.cutOffServices.size() < peer_heartbeat::maxEntries)
-                heartbeat.cutOffServices.push_back({ std::move(service) });
+                heartbeat.cutOffServices.push_back({ service });
         }
         for (const auto& [server, share] : m_context.loads.ownShares()) {
             if (heartbeat.shares.size() < peer_heartbeat::maxEntries)
@@ -378,8 +386,14 @@
     void applyLists(const peer_heartbeat& heartbeat, utils::time_point present)
     {
         std::map<utils::server_id, decisions::load_share> shares;
-        for (const reported_share& reported : heartbeat.shares)
-            shares[utils::server_id(reported.server)] = reported.share;
+        std::set<std::string> servicesInUse;
+        for (const reported_share& reported : heartbeat.shares) {
+            const utils::server_id id(reported.server);
+            shares[id] = reported.share;
+            if (const catalogue::backend_server* server = m_context.servers.find(id))
+                servicesInUse.insert(server->service);
+        }
+        m_peers.setServicesInUse(heartbeat.node, std::move(servicesInUse), present);
         m_context.loads.updatePeer(utils::node_id(heartbeat.node), shares, present);
         m_context.poison.merge(heartbeat.strikes, present);
         for (const reported_failures& reported : heartbeat.failures)
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -101,6 +101,26 @@
         && silence.isSilent(server, present, peerPrefillTime(service, server, present));
 }
 
+std::vector<std::string> node_context::quietServices(utils::time_point present) const
+{
+    std::map<std::string, std::pair<unsigned, unsigned>> counts; // quiet and heard servers
+    for (const auto& quietTime : silence.quietTimes(present)) {
+        const catalogue::backend_server* server = servers.find(quietTime.server);
+        const bool isQuiet = quietTime.time > decisions::silence_detector::minLimit;
+        // A server that has just got its first request is neither.
+        if (server == nullptr || (!isQuiet && !quietTime.hasSentData))
+            continue;
+        auto& [quiet, heard] = counts[server->service];
+        ++(isQuiet ? quiet : heard);
+    }
+    std::vector<std::string> services;
+    for (const auto& [service, count] : counts) {
+        if (count.first > count.second)
+            services.push_back(service);
+    }
+    return services;
+}
+
 bool node_context::isCold(const utils::server_id& server,
     const std::optional<catalogue::cold_start_traits>& traits, utils::time_point present) const
 {
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -91,6 +91,9 @@
     /// Whether a backend server seems to be down: it has requests in progress and sends nothing.
     bool isSilent(
         const std::string& service, const utils::server_id& server, utils::time_point present) const;
+    /// The services of which this node hears nothing: requests wait, and most of the servers that have them
+    /// send nothing. Ordered by name.
+    std::vector<std::string> quietServices(utils::time_point present) const;
     /// Whether a backend server is cold, or may be. Always false where `traits` is empty.
     bool isCold(const utils::server_id& server, const std::optional<catalogue::cold_start_traits>& traits,
         utils::time_point present) const;
--- a/src/libs/gateway/peerforwarder.cpp
+++ b/src/libs/gateway/peerforwarder.cpp
@@ -27,6 +27,39 @@
 
 std::optional<forward_target> peer_forwarder::choose(const request_plan& plan,
     const std::set<std::string>& tried, std::uint64_t salt, utils::time_point now) const
+{
+    return chooseAmong({}, plan, tried, salt, now);
+}
+
+std::optional<forward_target> peer_forwarder::chooseHearing(const request_plan& plan,
+    const std::set<std::string>& tried, std::uint64_t salt, utils::time_point since,
+    utils::time_point now) const
+{
+    // A peer tells of a silence once it has lasted for the detector's limit.
+    const service_news news = newsOf(plan.service, since + decisions::silence_detector::minLimit);
+    if (!news.isKnown || (news.isQuiet && news.hearing.empty()))
+        return std::nullopt;
+    return chooseAmong(news.hearing, plan, tried, salt, now);
+}
+
+peer_forwarder::service_news peer_forwarder::newsOf(const std::string& service, utils::time_point since) const
+{
+    service_news news;
+    for (const auto& [name, peer] : m_peers.peers()) {
+        if (peer.listsHeardAt < since)
+            continue;
+        news.isKnown = true;
+        if (std::ranges::find(peer.cutOffServices, service) != peer.cutOffServices.end())
+            news.isQuiet = true;
+        else if (peer.servicesInUse.contains(service))
+            news.hearing.insert(name);
+    }
+    return news;
+}
+
+std::optional<forward_target> peer_forwarder::chooseAmong(const std::set<std::string>& among,
+    const request_plan& plan, const std::set<std::string>& tried, std::uint64_t salt,
+    utils::time_point now) const
 {
     std::vector<const std::pair<const std::string, peer_state>*> suitable;
     std::vector<decisions::peer_candidate> candidates;
@@ -34,6 +67,8 @@
         const auto& [name, peer] = entry;
         if (tried.contains(name) || !isSuitable(peer, plan, now))
             continue;
+        if (!among.empty() && !among.contains(name))
+            continue;
         const auto forwarded = m_inProgress.find(name);
         suitable.push_back(&entry);
         candidates.push_back({ peer.dataCentre, peer.requestsInProgress,
--- a/src/libs/gateway/peerforwarder.h
+++ b/src/libs/gateway/peerforwarder.h
@@ -36,6 +36,13 @@
     std::optional<forward_target> choose(const request_plan& plan, const std::set<std::string>& tried,
         std::uint64_t salt, utils::time_point now) const;
 
+    /// Chooses a peer for an attempt that may still go on by itself, and has received nothing since `since`:
+    /// one that has requests in flight at the service and has told since then that it hears of it. Where no
+    /// peer has any in flight, it is chosen as by choose(). Where those that have hear nothing, there is
+    /// none: the servers, or all paths to them, are at fault.
+    std::optional<forward_target> chooseHearing(const request_plan& plan, const std::set<std::string>& tried,
+        std::uint64_t salt, utils::time_point since, utils::time_point now) const;
+
     /// Takes an idle connection to the peer; null when a new one is needed.
     http_connection_ptr takeConnection(const forward_target& target, utils::time_point now);
     /// Returns a connection after a complete response.
@@ -48,6 +55,16 @@
 
 private:
     bool isSuitable(const peer_state& peer, const request_plan& plan, utils::time_point now) const;
+    /// What peers have told of a service since a point in time.
+    struct service_news {
+        bool isKnown = false; ///< any peer has told
+        bool isQuiet = false; ///< one cannot connect to its servers, or hears nothing of them
+        std::set<std::string> hearing; ///< the peers with requests in flight there that hear of it
+    };
+    service_news newsOf(const std::string& service, utils::time_point since) const;
+    /// `among`: the peers to choose from; empty: all.
+    std::optional<forward_target> chooseAmong(const std::set<std::string>& among, const request_plan& plan,
+        const std::set<std::string>& tried, std::uint64_t salt, utils::time_point now) const;
 
     // Shorter than peers keep an idle connection, since a request sent as it closes is lost.
     static constexpr utils::duration idleTimeout = std::chrono::seconds(5);
--- a/src/libs/gateway/peertable.cpp
+++ b/src/libs/gateway/peertable.cpp
@@ -58,6 +58,16 @@
     return true;
 }
 
+void peer_table::setServicesInUse(
+    const std::string& node, std::set<std::string> services, utils::time_point now)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end())
+        return;
+    found->second.servicesInUse = std::move(services);
+    found->second.listsHeardAt = now;
+}
+
 void peer_table::expire(utils::time_point now)
 {
     std::erase_if(m_addresses, [now](const auto& entry) { return now - entry.second > addressLifetime; });
--- a/src/libs/gateway/peertable.h
+++ b/src/libs/gateway/peertable.h
@@ -25,7 +25,10 @@
     std::string dataCentre;
     std::uint16_t forwardPort = 0; ///< of its listener for forwarded requests; 0: it has none
     std::uint64_t requestsInProgress = 0;
-    std::vector<std::string> cutOffServices; ///< whose backend servers it cannot connect to
+    /// Whose backend servers it cannot connect to, or hears nothing of.
+    std::vector<std::string> cutOffServices;
+    std::set<std::string> servicesInUse; ///< with requests in flight, as of its last full heartbeat
+    utils::time_point listsHeardAt {}; ///< arrival of that heartbeat
     bool isLeaving = false;
     bool followsStore = false;
     utils::time_point heardAt {};
@@ -62,6 +65,9 @@
     /// Applies a heartbeat. Returns false if it is outdated, comes from this node itself, or precedes a
     /// restart of its sender. Boot ids have no order: one that was not heard before is a restart.
     bool applyHeartbeat(const peer_heartbeat& heartbeat, utils::time_point now);
+    /// Records the services at whose backend servers a peer has requests in flight. No effect if it is
+    /// unknown.
+    void setServicesInUse(const std::string& node, std::set<std::string> services, utils::time_point now);
     /// Drops peers and addresses that stay silent.
     void expire(utils::time_point now);
 
--- a/src/libs/gateway/replacementsearch.cpp
+++ b/src/libs/gateway/replacementsearch.cpp
@@ -110,8 +110,8 @@
     if (m_dependencies.request.hop)
         return stall_reason::NoPeer;
     const std::uint64_t salt = m_dependencies.number * 31 + m_dependencies.record.attempts() + 1;
-    const auto peer
-        = m_dependencies.forwarder.choose(m_dependencies.plan, m_dependencies.triedPeers, salt, now);
+    const auto peer = m_dependencies.forwarder.chooseHearing(m_dependencies.plan, m_dependencies.triedPeers,
+        salt, now - m_dependencies.tracker.silentFor(now), now);
     if (!peer)
         return stall_reason::NoPeer;
     m_candidate = candidate { std::nullopt, *peer };
