After most servers were silent, attempts get their time anew; retries go to servers known to run

Servers that fell silent together go on together, but their first data arrives one after the other. At that moment the first one heard counted as likely to run, and retries replaced attempts whose servers had gone on.

stalled_attempts remembers when most servers were silent; for a second after that nothing is replaced. A replacement is first looked for among servers that have sent data during the silence, then among those of which nothing is known.

--- a/src/libs/decisions/stalledattempts.cpp
+++ b/src/libs/decisions/stalledattempts.cpp
@@ -17,13 +17,21 @@
     return reasonNames.at(static_cast<std::size_t>(reason));
 }
 
-bool isLikelyToRun(const replacement_query& query)
+bool isKnownToRun(const replacement_query& query)
 {
     // Servers that stop together were heard last within one interval of their events, a small part of the
     // silence; one that runs has sent since.
-    if (query.quietFor)
-        return 2 * *query.quietFor < query.silentFor;
-    return query.othersQuiet <= query.othersHeard;
+    return query.quietFor && 2 * *query.quietFor < query.silentFor;
+}
+
+bool isLikelyToRun(const replacement_query& query)
+{
+    return query.quietFor ? isKnownToRun(query) : !areMostSilent(query);
+}
+
+bool areMostSilent(const replacement_query& query)
+{
+    return query.othersQuiet > query.othersHeard;
 }
 
 void stalled_attempts::stalled(
@@ -61,4 +69,15 @@
     return ahead + 1 <= retriesLeft;
 }
 
+void stalled_attempts::mostSilent(const std::string& service, utils::time_point now)
+{
+    m_mostSilentAt[service] = now;
+}
+
+bool stalled_attempts::isSettling(const std::string& service, utils::time_point now) const
+{
+    const auto found = m_mostSilentAt.find(service);
+    return found != m_mostSilentAt.end() && now - found->second < settleTime;
+}
+
 } // namespace decisions
--- a/src/libs/decisions/stalledattempts.h
+++ b/src/libs/decisions/stalledattempts.h
@@ -2,13 +2,13 @@
 
 #include "utils/time.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace decisions {
 
@@ -34,17 +34,25 @@
     unsigned othersQuiet = 0; ///< further servers that did not, though requests wait there
 };
 
+/// Whether the candidate has sent data while the other server was silent. Thread safe.
+bool isKnownToRun(const replacement_query& query);
 /// Whether the candidate is likely to go on while the other server is silent. Where most servers fall silent
 /// together, their host or the path to them is at fault, and a server that nothing is heard of is no better.
 /// Thread safe.
 bool isLikelyToRun(const replacement_query& query);
+/// Whether most of the other servers are silent as well. Thread safe.
+bool areMostSilent(const replacement_query& query);
 
 /// Orders the attempts of a node that receive no data by who may be retried on another server first.
 ///
 /// Load: a server, a host, or all servers of a service send nothing for a second, and all their streams stall
 /// in the same instant. The retry budget covers a few of them. If each attempt were ended before its retry is
 /// certain, the others would be lost although their servers go on a moment later. So an attempt stays until
-/// its retry is certain, and the most urgent ones come first, then those that wait longest. Not thread safe.
+/// its retry is certain, and the most urgent ones come first, then those that wait longest.
+///
+/// Servers that fell silent together go on together, but the first data of some arrives earlier than that of
+/// others. A retry at that moment replaces an attempt whose server has gone on, so attempts get their time
+/// anew after most servers were silent. Not thread safe.
 class stalled_attempts {
 public:
     /// Records that an attempt receives no data. `number` identifies the request. Precondition: it has not
@@ -55,18 +63,30 @@
     /// Whether the attempt is among those that `retriesLeft` retries suffice for. Precondition: it is
     /// recorded.
     bool mayRetry(std::uint64_t number, double retriesLeft) const;
+    /// Records that most servers of the service are silent at `now`.
+    void mostSilent(const std::string& service, utils::time_point now);
+    /// Whether most servers of the service were silent until less than `settleTime` ago.
+    bool isSettling(const std::string& service, utils::time_point now) const;
     /// Number of attempts recorded.
     std::size_t size() const { return m_services.size(); }
 
+    /// Servers that have gone on send data on each of their streams within this time.
+    static constexpr utils::duration settleTime = std::chrono::seconds(1);
+
 private:
     struct waiting_attempt {
         int urgency = 0;
         utils::time_point since {};
         std::uint64_t number = 0;
-        auto operator<=>(const waiting_attempt&) const = default;
+        bool operator==(const waiting_attempt&) const = default;
+        bool operator<(const waiting_attempt& other) const
+        {
+            return std::tie(urgency, since, number) < std::tie(other.urgency, other.since, other.number);
+        }
     };
     std::map<std::string, std::set<waiting_attempt>> m_waiting; ///< by service, the first one first
     std::map<std::uint64_t, std::pair<std::string, waiting_attempt>> m_services; ///< by number
+    std::map<std::string, utils::time_point> m_mostSilentAt; ///< by service
 };
 
 } // namespace decisions
--- a/src/libs/gateway/replacementsearch.cpp
+++ b/src/libs/gateway/replacementsearch.cpp
@@ -59,6 +59,8 @@
     const bool isCutOff = context.reachability.isCutOff(plan.service);
     if (noRetry)
         return noRetry;
+    if (!isCutOff && isSettling(now))
+        return stall_reason::NoServer;
     if (m_candidate && m_candidate->peer.has_value() != isCutOff)
         abandonConnection();
     if (!m_candidate) {
@@ -93,16 +95,28 @@
     return !noRetry;
 }
 
+bool replacement_search::isSettling(utils::time_point now)
+{
+    decisions::stalled_attempts& stalls = m_dependencies.context.stalls;
+    const std::string& service = m_dependencies.plan.service;
+    if (areMostSilent(querySilence(now)))
+        stalls.mostSilent(service, now);
+    return stalls.isSettling(service, now);
+}
+
 std::optional<stall_reason> replacement_search::chooseServerCandidate(utils::time_point now)
 {
-    const std::set<utils::server_id> excluded = excludedServers(now);
     const std::uint64_t salt = m_dependencies.number * 31 + m_dependencies.record.attempts() + 1;
-    const choice_constraints constraints { excluded, m_dependencies.result.streamVersion, salt };
-    const auto placement = chooseServer(m_dependencies.context, m_dependencies.plan, constraints, now);
-    if (!placement)
-        return stall_reason::NoServer;
-    m_candidate = candidate { *placement, std::nullopt };
-    return std::nullopt;
+    for (const auto isEligible : { decisions::isKnownToRun, decisions::isLikelyToRun }) {
+        const std::set<utils::server_id> excluded = excludedServers(isEligible, now);
+        const choice_constraints constraints { excluded, m_dependencies.result.streamVersion, salt };
+        const auto placement = chooseServer(m_dependencies.context, m_dependencies.plan, constraints, now);
+        if (!placement)
+            continue;
+        m_candidate = candidate { *placement, std::nullopt };
+        return std::nullopt;
+    }
+    return stall_reason::NoServer;
 }
 
 std::optional<stall_reason> replacement_search::choosePeerCandidate(utils::time_point now)
@@ -184,7 +198,7 @@
         const catalogue::backend_server* entry = context.servers.find(m_candidate->placement->server);
         const bool maySend = entry != nullptr
             && maySendTo(context, plan, *entry, m_dependencies.result.streamVersion, now)
-            && isRunning(entry->id, querySilence(now), now) && !context.isViewTooOld(now);
+            && isLikelyToRun(queryFor(entry->id, querySilence(now), now)) && !context.isViewTooOld(now);
         if (!maySend || !m_pending->connection->isIdleAndOpen()) {
             abandonConnection();
             return stall_reason::NoServer;
@@ -199,14 +213,15 @@
     return std::nullopt;
 }
 
-std::set<utils::server_id> replacement_search::excludedServers(utils::time_point now) const
+std::set<utils::server_id> replacement_search::excludedServers(
+    eligibility isEligible, utils::time_point now) const
 {
     std::set<utils::server_id> excluded = m_dependencies.triedServers;
     excluded.insert(m_unreachable.begin(), m_unreachable.end());
     const decisions::replacement_query query = querySilence(now);
     for (const catalogue::backend_server* server :
         m_dependencies.context.servers.usable(m_dependencies.plan.service)) {
-        if (!isRunning(server->id, query, now))
+        if (!isEligible(queryFor(server->id, query, now)))
             excluded.insert(server->id);
     }
     return excluded;
@@ -228,11 +243,11 @@
     return query;
 }
 
-bool replacement_search::isRunning(
+decisions::replacement_query replacement_search::queryFor(
     const utils::server_id& server, decisions::replacement_query query, utils::time_point now) const
 {
     query.quietFor = m_dependencies.context.silence.quietFor(server, now);
-    return isLikelyToRun(query);
+    return query;
 }
 
 bool replacement_search::isAdmitted(utils::time_point now)
--- a/src/libs/gateway/replacementsearch.h
+++ b/src/libs/gateway/replacementsearch.h
@@ -76,6 +76,8 @@
         std::optional<forward_target> peer;
     };
 
+    using eligibility = bool (*)(const decisions::replacement_query& query);
+
     /// Returns nothing if a replacement is secured, else why not.
     std::optional<decisions::stall_reason> trySecure(utils::time_point now);
     /// Records that the request waits for a retry; returns nothing if it may have one, else why not.
@@ -84,11 +86,14 @@
     std::optional<decisions::stall_reason> choosePeerCandidate(utils::time_point now);
     std::optional<decisions::stall_reason> connect(utils::time_point now);
     std::optional<decisions::stall_reason> commit(utils::time_point now);
-    /// Servers that were tried, and those that are not known to run.
-    std::set<utils::server_id> excludedServers(utils::time_point now) const;
+    /// Whether attempts get their time anew, after most servers of the service were silent.
+    bool isSettling(utils::time_point now);
+    /// Servers that were tried, and those that are not eligible.
+    std::set<utils::server_id> excludedServers(eligibility isEligible, utils::time_point now) const;
     /// What is known of the servers besides the silent one, without a candidate.
     decisions::replacement_query querySilence(utils::time_point now) const;
-    bool isRunning(
+    /// The same for this candidate.
+    decisions::replacement_query queryFor(
         const utils::server_id& server, decisions::replacement_query query, utils::time_point now) const;
     bool isAdmitted(utils::time_point now);
     void record(decisions::stall_reason reason, utils::time_point now);
--- a/tests/auto/decisions/tst_stalledattempts.cpp
+++ b/tests/auto/decisions/tst_stalledattempts.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace std::chrono_literals;
+using decisions::areMostSilent;
+using decisions::isKnownToRun;
 using decisions::isLikelyToRun;
 using decisions::replacement_query;
 
@@ -75,4 +77,32 @@
     BOOST_TEST(!isLikelyToRun(replacement_query { 1s, std::nullopt, 2, 3 }));
 }
 
+// Guards against a retry at a server of which nothing is known, while another one is known to run.
+BOOST_AUTO_TEST_CASE(an_idle_server_is_not_known_to_run)
+{
+    BOOST_TEST(!isKnownToRun(replacement_query { 1s, std::nullopt, 3, 0 }));
+    BOOST_TEST(!isKnownToRun(replacement_query { 1s, 900ms, 3, 0 }));
+    BOOST_TEST(isKnownToRun(replacement_query { 1s, 100ms, 0, 3 }));
+}
+
+// Guards against one silent server among many, or as many that send as do not, taken for a silence of most.
+BOOST_AUTO_TEST_CASE(most_servers_are_silent_if_more_are_quiet_than_heard)
+{
+    BOOST_TEST(areMostSilent(replacement_query { 1s, {}, 2, 3 }));
+    BOOST_TEST(!areMostSilent(replacement_query { 1s, {}, 3, 3 }));
+    BOOST_TEST(!areMostSilent(replacement_query { 1s, {}, 0, 0 }));
+}
+
+// Guards against retries for attempts whose servers go on at that moment, all of them together.
+BOOST_AUTO_TEST_CASE(attempts_get_their_time_anew_after_most_servers_were_silent)
+{
+    decisions::stalled_attempts stalls;
+    BOOST_TEST(!stalls.isSettling(service, at(0s)));
+    stalls.mostSilent(service, at(0s));
+    stalls.mostSilent(service, at(500ms));
+    BOOST_TEST(stalls.isSettling(service, at(1400ms)));
+    BOOST_TEST(!stalls.isSettling(service, at(1500ms)));
+    BOOST_TEST(!stalls.isSettling("press", at(500ms)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_silentservers.cpp
+++ b/tests/auto/gateway/tst_silentservers.cpp
@@ -145,6 +145,21 @@
     BOOST_TEST(wholeStreams(replies) == streams);
 }
 
+// Guards against retries for streams whose servers go on at that moment, all of them together.
+BOOST_FIXTURE_TEST_CASE(servers_that_go_on_together_cost_no_retry, silent_testbed)
+{
+    auto replies = begin("POST", repeatablePath, streams);
+    awaitFirstEvents(streams);
+    stallAll();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1600));
+    for (std::size_t i = 0; i < replicas; ++i) {
+        engine(i).resume();
+        std::this_thread::sleep_for(std::chrono::milliseconds(120));
+    }
+    BOOST_TEST(wholeStreams(replies) == streams);
+    BOOST_TEST(log().find("\"end\":\"silent\"") == std::string::npos);
+}
+
 // Guards against streams that wait for a dark server although a retry at another one is allowed.
 BOOST_FIXTURE_TEST_CASE(streams_of_a_dark_server_go_on_elsewhere, silent_testbed)
 {
