A stream waits for a server in reach, or for a peer, before it is cut

A node that lost its paths cut its streams at once: the first connection checks mark all servers unreachable, so that no server could be chosen, while the node knows only some 200 ms later that the path is its own and that peers reach the servers. Each caller had 19 s left. The class: given up before it is certain that nothing can replace it.

A request that may have run waits while a server that has not had it is out of reach: streams that have begun for 3 s, others for half of their target. One that has provably not run is refused at once as before, as is one whose only server of its version has failed it.

--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -20,8 +20,10 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace gateway {
 
@@ -267,9 +269,12 @@
             const bool mayAskPeer = m_plan.coldStart && m_triedPeers.empty()
                 && !m_context.servers.usable(m_plan.service).empty();
             const std::optional<forward_target> peer = mayAskPeer ? nextPeer() : std::nullopt;
-            if (!peer)
+            if (peer)
+                co_return co_await tryPeer(*peer, nullptr);
+            if (!mayWaitForServer())
                 co_return false;
-            co_return co_await tryPeer(*peer, nullptr);
+            co_await waitForServer();
+            co_return true;
         }
         co_return co_await tryPlacement(*placement, nullptr);
     }
@@ -299,6 +304,8 @@
         m_result.lastOutcome = co_await tryServer(placement.server, std::move(connection));
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
+        if (m_result.lastOutcome == attempt_outcome::NotSent)
+            m_unreachedServers.push_back(placement.server);
         recordSent();
         m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
         m_record.add(m_result.lastOutcome);
@@ -346,6 +353,40 @@
         co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
     }
 
+    /// Whether to wait until a server that is out of reach comes back, or until this node knows that it has
+    /// lost its path and peers have not. A request that has provably not run is refused at once instead: its
+    /// caller may send it again.
+    bool mayWaitForServer() const
+    {
+        const utils::duration limit = m_writer.hasBegun()
+            ? maxWaitForServer
+            : std::min(maxWaitForServer, m_plan.route->targetLatency / 2);
+        if (m_record.hasProvablyNotRun() || m_relay.hasFallback() || m_waitedForServer >= limit)
+            return false;
+        return std::ranges::any_of(m_context.servers.usable(m_plan.service),
+            [&](const catalogue::backend_server* server) { return mayTakeLater(*server); });
+    }
+
+    /// Whether the server may take the request once it can be reached.
+    bool mayTakeLater(const catalogue::backend_server& server) const
+    {
+        const bool isTried = m_triedServers.contains(server.id)
+            && std::ranges::find(m_unreachedServers, server.id) == m_unreachedServers.end();
+        const bool isOfVersion = !m_result.streamVersion
+            || decisions::versionKey(server.softwareVersion) == *m_result.streamVersion;
+        return !isTried && isOfVersion && isAllowedIn(m_plan, m_context.options, server.dataCentre);
+    }
+
+    boost::asio::awaitable<void> waitForServer()
+    {
+        constexpr utils::duration pause = std::chrono::milliseconds(50);
+        m_waitedForServer += pause;
+        boost::asio::steady_timer timer(m_context.executor, pause);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        for (const utils::server_id& server : std::exchange(m_unreachedServers, {}))
+            m_triedServers.erase(server);
+    }
+
     void recordViewAge()
     {
         const utils::time_point present = now();
@@ -552,6 +593,8 @@
     static constexpr utils::duration maxWaitForRoom = 3 * decisions::rejection_limiter::window;
     // A node earns some retries a second; longer waits find no server that is better than now.
     static constexpr utils::duration maxWaitForRetry = std::chrono::seconds(1);
+    // A node notices within a second that it has lost its path; a crashed server is back after some seconds.
+    static constexpr utils::duration maxWaitForServer = std::chrono::seconds(3);
     // Attempts that could not connect before the next one goes to a peer.
     static constexpr unsigned unsentBeforeForward = 2;
 
@@ -567,10 +610,12 @@
     std::uint64_t m_requestNumber;
     attempt_tracker m_tracker;
     std::set<utils::server_id> m_triedServers;
+    std::vector<utils::server_id> m_unreachedServers; ///< among the tried ones: nothing was sent there
     std::set<std::string> m_triedPeers;
     utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
     utils::duration m_waitedForRoom {};
     utils::duration m_waitedForRetry {};
+    utils::duration m_waitedForServer {};
     crash_admission m_admission = crash_admission::Send;
     std::optional<std::uint64_t> m_suspectPart; ///< with SendAlone
     utils::duration m_waitedForVerdict {};
--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t replicas = 3; ///< of each service
 constexpr unsigned events = 20; ///< of a stream
 constexpr unsigned rounds = 12;
+constexpr unsigned streams = 6; ///< under way at a node that is cut off
 constexpr std::size_t pathAddress = 240; ///< index of the proxies' address, behind those of the nodes
 
 /// Three nodes; the first one reaches the replicas by proxies of its own.
@@ -148,6 +149,47 @@
     BOOST_TEST(!world.hasRepeatedPayment());
 }
 
+/// Cuts the first node off in the middle of its streams and returns how many are whole. Only the nodes in
+/// `earning` have retries left.
+unsigned streamsThatGoOn(const std::vector<std::size_t>& earning)
+{
+    constexpr double retriesPerRequest = 4;
+    constexpr auto eventInterval = std::chrono::milliseconds(100);
+    cut_testbed world(retriesPerRequest);
+    world.awaitPeers();
+    for (std::size_t i = 0; i < replicas; ++i)
+        world.engine(i).setEventInterval(eventInterval);
+    const auto begin = [&world](std::size_t at, const std::string& target) {
+        std::vector<std::future<bool>> replies;
+        replies.reserve(streams);
+        for (unsigned i = 0; i < streams; ++i) {
+            const http_question asked = world.question("POST", target, "prompt " + std::to_string(i));
+            replies.push_back(std::async(std::launch::async, [&world, at, asked] {
+                const http_reply reply = world.ask(world.node(at), asked);
+                return reply.status == 200 && reply.isWhole && reply.body == eventsUpTo(events);
+            }));
+        }
+        const std::string line
+            = "lycheefront_first_event_seconds_count{service=\"engines\"} " + std::to_string(streams);
+        BOOST_REQUIRE(
+            waitUntil([&] { return world.metrics(world.node(at)).find(line) != std::string::npos; }));
+        return replies;
+    };
+    std::vector<std::vector<std::future<bool>>> others;
+    others.reserve(earning.size());
+    for (const std::size_t at : earning)
+        others.push_back(begin(at, "/draft/1"));
+    auto replies = begin(0, "/chat/1");
+    world.setPaths(link_state::Refusing);
+    world.setPaths(link_state::ClosedToNew);
+    const auto whole = [](auto& all) {
+        return std::ranges::count_if(all, [](std::future<bool>& reply) { return reply.get(); });
+    };
+    for (auto& ofNode : others)
+        BOOST_TEST(whole(ofNode) == streams);
+    return static_cast<unsigned>(whole(replies));
+}
+
 } // namespace
 
 // A node loses its paths to all backend servers, while callers, the store and its peers still reach it.
@@ -205,6 +247,13 @@
     BOOST_TEST(!hasRepeatedPayment());
 }
 
+// Guards against cutting the streams of a node that loses its paths, before it knows that its peers still
+// reach the servers.
+BOOST_AUTO_TEST_CASE(streams_outlast_the_loss_of_their_nodes_paths)
+{
+    BOOST_TEST(streamsThatGoOn({ 1, 2 }) == streams);
+}
+
 // Guards against a second run of a payment whose peer dies, and against a "not run" that is not true.
 BOOST_FIXTURE_TEST_CASE(a_payment_whose_peer_dies_is_not_sent_again, cut_testbed)
 {
