A peer that has sent nothing says so, and the request goes on by way of another

A stream that its node had to hand to a peer was cut where that peer had no retry left: the peer counted the forwarding node's run as its own and answered 502, which the forwarding node took for a broken answer, and for the use of all runs. The same for a peer that had another configuration or was leaving (503, not run) once the caller had events, and for a peer that could not be reached. The class: given up because of the first peer, with others at hand.

A node that a request was forwarded to speaks of its own attempts; the forwarding node knows of the earlier ones, and still tells its caller "not run" only where that holds for all. A forwarded attempt uses up the runs only if it may have run. A refusal that says "not run" is no end of a stream that has begun.

--- a/src/libs/gateway/attempt.cpp
+++ b/src/libs/gateway/attempt.cpp
@@ -43,10 +43,11 @@
 void attempt_record::addForwarded(attempt_outcome outcome, bool hasSent)
 {
     const unsigned sentBefore = m_sent;
+    const unsigned runsBefore = m_mayHaveRun;
     add(outcome);
     if (!hasSent)
         m_sent = sentBefore;
-    if (m_mayHaveRun > 0)
+    if (m_mayHaveRun > runsBefore)
         m_mayHaveRun = std::max(m_mayHaveRun, m_maxRuns);
 }
 
@@ -54,6 +55,7 @@
 {
     m_sent += sent;
     m_mayHaveRun += runs;
+    m_earlierRuns += runs;
 }
 
 bool attempt_record::mayRetry() const
@@ -69,7 +71,7 @@
 
 utils::error_kind attempt_record::finalErrorKind() const
 {
-    if (hasProvablyNotRun())
+    if (m_mayHaveRun == m_earlierRuns)
         return m_notRun > 0 ? utils::error_kind::QueueFull : utils::error_kind::NoServer;
     return m_last == Silent ? utils::error_kind::ServerTimeout : utils::error_kind::ServerFailed;
 }
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -37,8 +37,8 @@
     }
 
     void add(attempt_outcome outcome);
-    /// Records an attempt by way of a peer, which may have used all runs that are left. `hasSent`: the peer
-    /// may have sent the request to a server.
+    /// Records an attempt by way of a peer. If the request may have run there, the peer may have used all
+    /// runs that are left. `hasSent`: the peer may have sent the request to a server.
     void addForwarded(attempt_outcome outcome, bool hasSent);
     /// Records attempts of the node that has forwarded the request to this one: `sent` reached servers, and
     /// `runs` of these may have run it.
@@ -64,8 +64,10 @@
     unsigned unsent() const { return m_unsent; }
     /// Attempts that may have run the request.
     unsigned possibleRuns() const { return m_mayHaveRun; }
-    /// Returns the error for the caller when no further attempt follows. Precondition: add() was called, or
-    /// no attempt was made because no server was available.
+    /// Returns the error for the caller when no further attempt follows. A node that the request was
+    /// forwarded to speaks of its own attempts: the forwarding node knows of the earlier ones, and may ask
+    /// another peer if this node has run nothing. Precondition: add() was called, or no attempt was made
+    /// because no server was available.
     utils::error_kind finalErrorKind() const;
 
     /// Limit of attempts that sent nothing; further ones find no server either.
@@ -81,6 +83,7 @@
     unsigned m_unsent = 0;
     unsigned m_notRun = 0;
     unsigned m_mayHaveRun = 0;
+    unsigned m_earlierRuns = 0; ///< of the nodes that have forwarded the request
     attempt_outcome m_last = attempt_outcome::NotSent;
 };
 
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -169,7 +169,7 @@
         if (error || !connection->isDone())
             co_return error ? outcomeOf(error) : attempt_outcome::Garbled;
         m_peerFailure = utils::errorKindFromProblem(body);
-        if (!m_peerFailure || m_writer.hasBegun())
+        if (!m_peerFailure)
             co_return attempt_outcome::Garbled;
         const utils::error_answer& answer = utils::answerFor(*m_peerFailure);
         if (answer.run == utils::run_state::NotRun && answer.hasRetryAfter) {
@@ -177,6 +177,8 @@
             m_peerRefusalBody = std::move(body);
             co_return attempt_outcome::NotRun;
         }
+        if (m_writer.hasBegun())
+            co_return attempt_outcome::Garbled;
         m_result.status = response.status;
         co_return co_await forwardBuffered(std::move(response), std::move(body));
     }
--- a/tests/auto/gateway/tst_attempt.cpp
+++ b/tests/auto/gateway/tst_attempt.cpp
@@ -126,4 +126,34 @@
     BOOST_TEST(lookup.isRetry());
 }
 
+// Guards against giving a request up because a peer that sent nothing is taken to have used its last run.
+BOOST_AUTO_TEST_CASE(a_peer_that_sent_nothing_uses_no_run)
+{
+    for (const attempt_outcome end : { attempt_outcome::NotSent, attempt_outcome::NotRun }) {
+        attempt_record lookup(true, 2);
+        lookup.add(attempt_outcome::Cut);
+        lookup.addForwarded(end, false);
+        BOOST_TEST(lookup.mayRetry());
+        BOOST_TEST(lookup.possibleRuns() == 1u);
+        BOOST_TEST(!lookup.hasProvablyNotRun());
+    }
+}
+
+// Guards against a peer that sent nothing and reports its forwarding node's run as its own.
+BOOST_AUTO_TEST_CASE(a_peer_that_sent_nothing_says_so)
+{
+    for (const attempt_outcome end : { attempt_outcome::NotSent, attempt_outcome::NoRepeat }) {
+        attempt_record forwarded(true, 2);
+        forwarded.addEarlier(1, 1);
+        forwarded.add(end);
+        BOOST_TEST((forwarded.finalErrorKind() == error_kind::NoServer));
+        BOOST_TEST(!forwarded.hasProvablyNotRun());
+    }
+    attempt_record sent(true, 3);
+    sent.addEarlier(1, 1);
+    sent.add(attempt_outcome::Cut);
+    sent.add(attempt_outcome::NoRepeat);
+    BOOST_TEST((sent.finalErrorKind() == error_kind::ServerFailed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -254,6 +254,12 @@
     BOOST_TEST(streamsThatGoOn({ 1, 2 }) == streams);
 }
 
+// Guards against cutting streams that were sent to a peer without a retry left, while another peer has some.
+BOOST_AUTO_TEST_CASE(streams_go_on_by_way_of_a_second_peer)
+{
+    BOOST_TEST(streamsThatGoOn({ 2 }) == streams);
+}
+
 // Guards against a second run of a payment whose peer dies, and against a "not run" that is not true.
 BOOST_FIXTURE_TEST_CASE(a_payment_whose_peer_dies_is_not_sent_again, cut_testbed)
 {
