Test of a version that is gone waits until every node knows

Traced by the logs of a failing run: the test waited for one node's refusal and asked another one, which got the withdrawal 2 ms after the request (20.971 and 20.973) and rightly used the server.

--- a/tests/auto/gateway/tst_streamversions.cpp
+++ b/tests/auto/gateway/tst_streamversions.cpp
@@ -227,11 +227,19 @@
         stream = world.begin(0);
     for (std::size_t i = 0; i < engines / 2; ++i)
         world.withdraw(world.engine(i));
-    BOOST_REQUIRE(waitUntil([&] { return world.resume(1, stream.requestId).status == 503; }));
-    const http_reply reply = world.resume(2, stream.requestId);
-    BOOST_TEST(reply.status == 503);
-    BOOST_TEST(reply.contains("not_run"));
-    BOOST_TEST(reply.headers.count("Retry-After") == 0u);
+    for (std::size_t at = 0; at < world.nodeCount(); ++at) {
+        for (std::size_t i = 0; i < engines / 2; ++i) {
+            const std::string line = "\"server\":\"" + world.engine(i).id() + "\",\"state\":\"gone\"";
+            BOOST_REQUIRE(
+                waitUntil([&] { return world.node(at).process->log().find(line) != std::string::npos; }));
+        }
+    }
+    for (std::size_t at = 1; at < world.nodeCount(); ++at) {
+        const http_reply reply = world.resume(at, stream.requestId);
+        BOOST_TEST(reply.status == 503);
+        BOOST_TEST(reply.contains("not_run"));
+        BOOST_TEST(reply.headers.count("Retry-After") == 0u);
+    }
     BOOST_TEST(world.mixedStreams().size() == 0u);
 }
 
