--- a/tests/auto/decisions/silencehistory.h
+++ b/tests/auto/decisions/silencehistory.h
@@ -11,12 +11,12 @@
 #include <array>
 #include <cstdint>
 #include <limits>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// What a node does with an attempt that receives no data for too long.
@@ -104,6 +104,8 @@
     unsigned whole = 0;
     unsigned cut = 0; ///< answers ended before their deadline, though the server would have gone on before it
     unsigned cutInVain = 0; ///< answers ended before their deadline whose server did not go on
+    unsigned waits = 0; ///< of over a second for an event
+    double waited = 0; ///< sum of these
     unsigned late = 0; ///< waited over a second longer than the silence of their server
     unsigned expired = 0; ///< at their deadline, at a server that was not dark
     unsigned expiredDark = 0; ///< at their deadline, at a dark server
@@ -151,13 +153,15 @@
                 begin();
             for (auto& [number, stream] : m_streams)
                 advance(number, stream);
-            std::erase_if(m_streams, [](const auto& entry) { return entry.second.isOver; });
+            if (i % stepsPerCleanup == 0)
+                std::erase_if(m_streams, [](const auto& entry) { return entry.second.isOver; });
         }
         return std::move(m_outcome);
     }
 
 private:
     static constexpr double step = 0.01; ///< seconds
+    static constexpr unsigned stepsPerCleanup = 25;
     static constexpr double startLead = 15; ///< the nodes have started that long before
     static constexpr double deadline = 20;
     static constexpr double eventGap = 0.1;
@@ -305,7 +309,7 @@
         ++m_outcome.begun;
         enter(++m_lastNumber, stream);
         stream.lastServer = stream.first.server;
-        m_streams.emplace(m_lastNumber, std::move(stream));
+        m_streams.emplace_back(m_lastNumber, std::move(stream));
     }
 
     /// The stream's caller sends a request.
@@ -441,6 +445,8 @@
     {
         if (m_now - stream.lastEventAt < lateAfter)
             return;
+        ++m_outcome.waits;
+        m_outcome.waited += m_now - stream.lastEventAt;
         double silent = 0;
         for (double time = stream.lastEventAt; time < m_now; time += step)
             silent += m_history.isSilent(stream.lastServer, time) ? step : 0;
@@ -652,7 +658,7 @@
     std::vector<server_state> m_servers;
     std::vector<node_state> m_nodes;
     decisions::recent_failures m_failures; ///< nodes tell each other of failures
-    std::map<std::uint64_t, stream_state> m_streams;
+    std::vector<std::pair<std::uint64_t, stream_state>> m_streams; ///< by number
     std::uint64_t m_lastNumber = 0;
     silence_outcome m_outcome;
     double m_now = 0;
