A stream that has begun waits for the verdict on its part as long as its caller does

Streams whose server had ended waited for the verdict on a part that crashes had made suspect, and were cut after the target of their route, while the one request that was to tell had not had its first event. The class: given up because a verdict is late.

Only the limit changes, and only for callers that have events: a request without any is refused after its target as before.

--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -132,14 +132,15 @@
         return m_admission != crash_admission::Refuse;
     }
 
-    /// Waits for the end of another request with the same suspect part. Returns whether to go on.
+    /// Waits for the end of another request with the same suspect part. Returns whether to go on. A stream
+    /// that has begun waits as long as its caller does: nothing else can bring the rest of it.
     boost::asio::awaitable<bool> waitForVerdict()
     {
         constexpr utils::duration pause = std::chrono::milliseconds(20);
         m_waitedForVerdict += pause;
         boost::asio::steady_timer timer(m_context.executor, pause);
         co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-        co_return m_waitedForVerdict < m_plan.route->targetLatency;
+        co_return m_writer.hasBegun() || m_waitedForVerdict < m_plan.route->targetLatency;
     }
 
     /// Whether the next attempt is a retry for which the budget has nothing left yet. The requests that
--- a/tests/auto/gateway/tst_crashingparts.cpp
+++ b/tests/auto/gateway/tst_crashingparts.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <future>
 #include <thread>
 
 using platform_standin::replica_standin;
@@ -57,6 +58,10 @@
     }
     /// Asks with these shared parts, and a last part and a body of its own.
     http_reply ask(std::size_t nodeIndex, const std::string& target, const std::vector<std::string>& parts)
+    {
+        return gateway_testbed::ask(node(nodeIndex), prompt(target, parts));
+    }
+    http_question prompt(const std::string& target, const std::vector<std::string>& parts)
     {
         const std::string number = std::to_string(++m_prompts);
         http_question asked = question("POST", target, "prompt " + number);
@@ -65,7 +70,7 @@
             prompt += part + ":400,";
         asked.headers["Lycheefront-Prompt-Prefix"] = prompt + "ff" + number + ":100";
         asked.headers["Lycheefront-Token-Usage"] = "1000,50";
-        return gateway_testbed::ask(node(nodeIndex), asked);
+        return asked;
     }
     bool isServed(std::size_t nodeIndex, const std::vector<std::string>& parts)
     {
@@ -209,6 +214,64 @@
     BOOST_TEST(sound.share() >= minServed);
 }
 
+// Guards against cutting streams that wait for the verdict on their part, because it comes late.
+BOOST_FIXTURE_TEST_CASE(streams_with_a_suspect_part_wait_for_the_verdict, crashing_testbed)
+{
+    constexpr unsigned streams = 4;
+    constexpr unsigned events = 90; // more than the test takes
+    const std::string part = "a1";
+    configuration_content content;
+    content.latencyMs = 500;
+    configure(2, content);
+    for (std::size_t i = 0; i < engines; ++i) {
+        engine(i).setEvents(events, 0);
+        engine(i).setEventInterval(std::chrono::milliseconds(100));
+    }
+    const auto awaitMetric = [this](const std::string& line) {
+        BOOST_REQUIRE(waitUntil([&] { return metrics(node(0)).find(line) != std::string::npos; }));
+    };
+    const auto awaitLog = [this](const std::string& text) {
+        BOOST_REQUIRE(waitUntil([&] { return node(0).process->log().find(text) != std::string::npos; }));
+    };
+    awaitMetric("lycheefront_configuration_version 2");
+    std::vector<std::future<http_reply>> replies;
+    replies.reserve(streams);
+    for (unsigned i = 0; i < streams; ++i) {
+        const http_question asked = prompt(repeatablePath, { part });
+        replies.push_back(
+            std::async(std::launch::async, [&, asked] { return gateway_testbed::ask(node(0), asked); }));
+    }
+    awaitMetric("lycheefront_first_event_seconds_count{service=\"engines\"} " + std::to_string(streams));
+    // Further requests with the part go elsewhere, and end two servers in turn.
+    std::vector<std::size_t> first;
+    for (std::size_t i = 0; i < engines; ++i) {
+        if (engine(i).requestCount() == 0)
+            continue;
+        first.push_back(i);
+        announce(engine(i), "engines", "draining");
+        awaitLog("\"server\":\"" + engine(i).id() + "\",\"state\":\"leaving\"");
+    }
+    crashOn({ part });
+    for (const std::string level : { "1", "2" }) {
+        BOOST_TEST(ask(0, path, { part }).status != 200);
+        awaitLog("\"level\":\"" + level + '"');
+    }
+    crashOn({});
+    for (std::size_t i = 0; i < engines; ++i)
+        engine(i).stall();
+    for (const std::size_t i : first)
+        engine(i).crash();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    for (std::size_t i = 0; i < engines; ++i)
+        engine(i).resume();
+    unsigned whole = 0;
+    for (auto& reply : replies) {
+        const http_reply got = reply.get();
+        whole += got.status == 200 && got.isWhole && got.body == platform_standin::eventsUpTo(events) ? 1 : 0;
+    }
+    BOOST_TEST(whole == streams);
+}
+
 // Guards against connections that break, with their servers alive, and get a part refused.
 BOOST_AUTO_TEST_CASE(connections_that_break_are_no_crashes)
 {
