--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -277,6 +277,8 @@
         co_return false;
     case replica_act::Endless:
         co_return co_await sendForever(socket, decoded);
+    case replica_act::Large:
+        co_return co_await sendLarge(socket, decoded);
     case replica_act::Hang:
         co_return co_await hang(socket);
     case replica_act::Stream:
@@ -367,6 +369,22 @@
     co_return false;
 }
 
+boost::asio::awaitable<bool> replica_standin::sendLarge(tcp_socket& socket, const replica_request& request)
+{
+    std::chrono::milliseconds pause {};
+    {
+        const std::lock_guard lock(m_mutex);
+        pause = m_eventInterval;
+    }
+    const std::string mark = "Lycheefront-Response-Signature: " + m_id
+        + ".1\r\nContent-Length: " + std::to_string(largeSize) + "\r\n\r\n";
+    std::string bytes = head(200, request.id, mark) + std::string(largeSize / 2, 'x');
+    if (!co_await standins_common::sendBytes(socket, std::move(bytes)))
+        co_return false;
+    co_await standins_common::pauseFor(pause);
+    co_return co_await standins_common::sendBytes(socket, std::string(largeSize - largeSize / 2, 'x'));
+}
+
 boost::asio::awaitable<bool> replica_standin::hang(tcp_socket& socket)
 {
     char byte = 0;
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -35,8 +35,11 @@
     StreamUnframedCut, ///< the same, but it ends in the middle of event `cutAt`
     HeadOnly, ///< 200 without length or chunks, and the connection ends before the body
     Endless, ///< 200 whose body never ends
+    Large, ///< 200 with `largeSize` bytes; its first half comes at once, the rest after the event interval
 };
 
+inline constexpr std::size_t largeSize = 16'000'000; ///< bytes that Large sends
+
 /// One event of a stream, of that type if it has one.
 std::string eventText(unsigned id, const std::string& type = {});
 /// The body of a stream from its first event to that one.
@@ -102,6 +105,8 @@
         standins_common::tcp_socket& socket, const replica_request& request, bool isCut);
     boost::asio::awaitable<bool> sendForever(
         standins_common::tcp_socket& socket, const replica_request& request);
+    boost::asio::awaitable<bool> sendLarge(
+        standins_common::tcp_socket& socket, const replica_request& request);
     boost::asio::awaitable<bool> hang(standins_common::tcp_socket& socket);
     boost::asio::awaitable<void> whileStalled() const;
     boost::asio::awaitable<bool> streamUnframed(
