Soak: servers that stall and go on, and the promise that their answers reach callers whole

Callers had a head, events, then a reset while the engines ran on (LOST), and no fault of the soak was like it: streams took 60 ms, nothing fell silent and went on, and no check asked for answers that a node cut.

New fault servers_stall: one, a third or all servers of a service, or of both, send nothing for 0.5 to 6 s, alone and in series. New check: a node neither cuts an answer, nor puts a 5xx of its own in its place, which its last server went on with; excused are acts of that server that end answers, its crash, its leaving, faults of its link, of the node's paths and the node's end, the caller's leaving and its deadline. New check: each answer that a node cuts has an answer_cut line. It is read from the nodes' logs of this run.

tst_soakcheck: each check sees its fault, and each excuse holds.

--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 namespace http = boost::beast::http;
-constexpr duration patience = std::chrono::seconds(6); // as told in the deadline
+constexpr duration patience = callerDeadline;
 constexpr duration shortPatience = std::chrono::milliseconds(40); // in the middle of most streams
 constexpr duration betweenCalls = std::chrono::milliseconds(10);
 constexpr std::uint64_t givesUp = 12; // one request in so many is given up early
@@ -107,6 +107,7 @@
                 [&](const boost::system::error_code& readError, std::size_t) { m_error = readError; });
         });
         m_io.run();
+        call.hasTimedOut = m_error == boost::beast::error::timeout;
         if (!parser.is_header_done())
             return;
         const auto& reply = parser.get();
--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -17,6 +17,9 @@
 constexpr double smallestShareOfNew = 0.5; // that go on, against the share of new streams that begin
 constexpr std::size_t decisiveCrashes = 5; // under one part, after which its requests must stop
 constexpr std::size_t toleratedAfterCrashes = 3; // requests with it that reach servers later
+constexpr duration nearDeadline
+    = std::chrono::milliseconds(500); // a node may end a request so much before it
+constexpr duration afterLinkFault = std::chrono::seconds(5); // connections from before are unsound
 constexpr duration knownAfter = std::chrono::seconds(1); // an engine that has just been announced
 
 bool mayRepeat(call_kind kind)
@@ -96,6 +99,8 @@
         for (const call_record& call : m_evidence.calls) {
             checkAnswer(call);
             checkRuns(call);
+            checkWhole(call);
+            checkReport(call);
             overruns += mayRepeat(call.kind) && runsOf(call) > runsOfRepeatable ? 1 : 0;
         }
         if (overruns > toleratedOverruns)
@@ -147,6 +152,9 @@
             if (request.method == "POST" && request.body != request.id)
                 breaks(request.id, "reached " + each.server + " with another body");
             m_arrivedAt[request.id].push_back(request.arrivedAt);
+            const arrival*& last = m_lastArrival[request.id];
+            if (last == nullptr || last->request.arrivedAt <= request.arrivedAt)
+                last = &each;
             checkLeaving(each, *call->second);
             checkEvacuation(each, *call->second);
         }
@@ -338,6 +346,64 @@
             breaks(call.id, "was said not to have run, and ran");
     }
 
+    /// Answers of servers that go on are whole: a node neither cuts one nor puts a failure of its own in its
+    /// place.
+    void checkWhole(const call_record& call)
+    {
+        const auto last = m_lastArrival.find(call.id);
+        if (last == m_lastArrival.end() || !isCutByNode(call) || !hasGoneOn(*last->second, call))
+            return;
+        breaks(call.id,
+            "was cut after " + std::to_string(lastEvent(call.body)) + " events though " + last->second->server
+                + " went on with it");
+    }
+
+    /// Each answer that a node cuts has a line in its log.
+    void checkReport(const call_record& call)
+    {
+        if (isSuccess(call.status) && isCutByNode(call) && !m_evidence.reportedCuts.contains(call.id))
+            breaks(call.id, "was cut and no log names it");
+    }
+
+    /// Whether the node ended a call that neither its caller, its deadline nor the end of the node did.
+    bool isCutByNode(const call_record& call) const
+    {
+        const bool isCut = isSuccess(call.status)
+            ? !call.isWhole
+            : call.status == 0 || (call.status >= 500 && !saysNotRun(call.status) && !call.isMarked);
+        return isCut && !call.hasTimedOut && call.endedAt - call.sentAt < callerDeadline - nearDeadline
+            && !overlaps(m_evidence.nodeEnds.at(call.node), call, duration(0));
+    }
+
+    /// Whether nothing ended the call at its server, or on the path to it.
+    bool hasGoneOn(const arrival& each, const call_record& call) const
+    {
+        using platform_standin::replica_act;
+        const auto& request = each.request;
+        const bool isResumed = request.headers.contains("last-event-id");
+        const bool isSoundAct = request.act == replica_act::Answer || request.act == replica_act::Stream
+            || (request.act == replica_act::StreamCutOnce && isResumed);
+        const auto crashes = m_evidence.crashes.find(each.server);
+        const bool hasCrashed = crashes != m_evidence.crashes.end()
+            && std::ranges::any_of(crashes->second,
+                [&](time_point at) { return request.arrivedAt <= at && at <= call.endedAt; });
+        const auto left = m_evidence.leftAt.find(each.server);
+        const bool hasLeft = left != m_evidence.leftAt.end() && left->second <= call.endedAt;
+        const auto links = m_evidence.linkFaults.find(each.server);
+        const bool isLinkUnsound
+            = links != m_evidence.linkFaults.end() && overlaps(links->second, call, afterLinkFault);
+        const bool isCutOff
+            = call.node == m_evidence.pathNode && overlaps(m_evidence.nodePathFaults, call, afterLinkFault);
+        return isSoundAct && !hasCrashed && !hasLeft && !isLinkUnsound && !isCutOff;
+    }
+
+    /// Whether one of the faults, or the time `after` it, falls into the call.
+    static bool overlaps(const std::vector<span>& faults, const call_record& call, duration after)
+    {
+        return std::ranges::any_of(faults,
+            [&](const span& each) { return each.from <= call.endedAt && call.sentAt <= each.to + after; });
+    }
+
     bool isSound(const std::vector<span>& faults, time_point at) const
     {
         return std::ranges::none_of(faults,
@@ -353,6 +419,7 @@
     std::map<std::string, const call_record*> m_calls; ///< by id
     std::map<std::string, unsigned> m_runs; ///< by id
     std::map<std::string, std::vector<time_point>> m_arrivedAt; ///< at servers, by id
+    std::map<std::string, const arrival*> m_lastArrival; ///< by id
     std::array<service_traffic, 2> m_traffic;
     std::vector<std::string> m_broken;
 };
--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
 inline constexpr double retriesPerCall = 0.05;
 inline constexpr double extraRetries = 108;
 
+/// As told to the nodes by callers in each request.
+inline constexpr duration callerDeadline = std::chrono::seconds(6);
+
 /// What callers ask for.
 enum class call_kind {
     Payment, ///< may run once at most
@@ -42,6 +46,7 @@
     std::string resumes {}; ///< the call that brought the first event of the stream; empty: takes none up
     bool hasCrashingPart = false; ///< in its prompt
     unsigned resumedAfter = 0; ///< the last event that the caller had before
+    bool hasTimedOut = false; ///< the caller left, early or at its deadline
     std::vector<std::string> versions {}; ///< software versions of the servers that wrote the events
 };
 
@@ -77,6 +82,11 @@
     std::vector<call_record> calls;
     std::vector<arrival> arrivals;
     std::vector<std::vector<span>> nodeFaults; ///< of each node, also those of its link to the store
+    std::vector<std::vector<span>> nodeEnds; ///< of each node: it may end with requests in progress
+    std::size_t pathNode = 0; ///< whose paths to all servers are lost at times
+    std::vector<span> nodePathFaults; ///< when
+    std::map<std::string, std::vector<time_point>> crashes; ///< of backend servers
+    std::set<std::string> reportedCuts; ///< calls that the nodes' logs name as cut
     std::map<std::string, std::vector<span>> linkFaults; ///< of the link to that backend server
     std::map<std::string, time_point> leftAt; ///< backend servers, when the store had it
     std::map<std::string, std::string> dataCentres; ///< of each backend server
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -29,6 +29,10 @@
 constexpr std::array cutStates { link_state::Lost, link_state::ClosedToNew, link_state::Refusing,
     link_state::Silent };
 constexpr unsigned rejectionLimit = 3; // a second
+constexpr duration killedLogTime
+    = std::chrono::seconds(1); // log lines may wait for so long before they are written
+// From SIGTERM on, when requests still in progress may be ended: five sixths of the grace.
+constexpr duration graceTime = std::chrono::milliseconds(6600);
 // A replica that comes back after an evacuation.
 constexpr duration coldTime = std::chrono::milliseconds(500);
 
@@ -76,8 +80,10 @@
         return releaseEngines(fault);
     case fault_kind::PartCrashesEngines:
         return crashUnderPart(fault.lasts);
+    case fault_kind::ServersStall:
+        return stallServers(fault);
     case fault_kind::ConfigurationChanges:
-        return m_world.configure(++m_version, m_keysTaken == 0);
+        return configure(m_keysTaken == 0);
     case fault_kind::DataCentreEvacuated:
         return evacuate(dataCentreOf(fault.target), fault.lasts);
     }
@@ -106,6 +112,25 @@
     }
 }
 
+void soak_run::stallServers(const planned_fault& fault)
+{
+    const server_share share = stalledServers(fault, m_size.servers);
+    for (std::size_t i = 0; i < share.ofEach; ++i) {
+        const std::size_t place = (fault.target + i) % m_size.servers;
+        if (share.hasPress)
+            stall(place, fault.lasts);
+        if (share.hasEngines)
+            stall(m_size.servers + place, fault.lasts);
+    }
+}
+
+void soak_run::stall(std::size_t server, duration lasts)
+{
+    replica_standin& standin = *m_servers[m_serving[server]];
+    standin.stall();
+    until(lasts, [&standin] { standin.resume(); });
+}
+
 void soak_run::crashUnderPart(duration lasts)
 {
     const auto setParts = [this](bool isCrashing) {
@@ -126,6 +151,7 @@
 void soak_run::cutOffNode(const planned_fault& fault)
 {
     ++m_cuts;
+    m_evidence.nodePathFaults.push_back({ now(), now() + fault.lasts });
     for (const auto& [text, path] : m_paths)
         path->set(cutStates.at(fault.variant % cutStates.size()));
     until(fault.lasts, [this] {
@@ -163,6 +189,7 @@
     case fault_kind::KillNode:
         life = { true, now() + fault.lasts };
         process.kill();
+        m_evidence.nodeEnds[node].push_back({ now() - killedLogTime, now() + fault.lasts + startTime });
         return faultOnNode(node, fault.lasts + startTime);
     case fault_kind::PauseNode:
         process.sendSignal(SIGSTOP);
@@ -171,6 +198,7 @@
     case fault_kind::StopNode:
         life = { true, now() };
         process.sendSignal(SIGTERM);
+        m_evidence.nodeEnds[node].push_back({ now() + graceTime, now() + stopTime });
         return faultOnNode(node, stopTime);
     default:
         process.sendSignal(SIGHUP);
@@ -252,14 +280,14 @@
 void soak_run::takeKeyAway(duration lasts)
 {
     ++m_keysTaken;
-    m_world.configure(++m_version, false);
+    configure(false);
     if (m_keysTaken == 1)
         m_evidence.withoutSecondKey.push_back({ now(), time_point::max() });
     until(lasts, [this] {
         if (--m_keysTaken > 0)
             return;
         m_evidence.withoutSecondKey.back().to = now();
-        m_world.configure(++m_version, true);
+        configure(true);
     });
 }
 
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 22> kinds { {
+constexpr std::array<std::pair<fault_kind, std::string_view>, 23> kinds { {
     { fault_kind::KillNode, "kill_node" },
     { fault_kind::PauseNode, "pause_node" },
     { fault_kind::StopNode, "stop_node" },
@@ -32,10 +32,11 @@
     { fault_kind::ServiceFails, "service_fails" },
     { fault_kind::EnginesReleased, "engines_released" },
     { fault_kind::PartCrashesEngines, "part_crashes_engines" },
+    { fault_kind::ServersStall, "servers_stall" },
 } };
 
 // The last kinds are drawn apart, so that a seed from before them has the faults that it had.
-constexpr std::size_t drawnKinds = kinds.size() - 7;
+constexpr std::size_t drawnKinds = kinds.size() - 8;
 constexpr std::uint64_t evacuationSalt = 0x9e3779b97f4a7c15;
 constexpr int mostEvacuations = 2;
 constexpr std::uint64_t pathSalt = 0xc2b2ae3d27d4eb4f;
@@ -52,6 +53,17 @@
 constexpr int mostReleases = 2;
 constexpr std::uint64_t crashSalt = 0x85ebca77c2b2ae63;
 constexpr int partCrashesOneIn = 2; // seeds
+constexpr std::uint64_t stallSalt = 0x904d0177726dfc80;
+constexpr int stallsOneIn = 2; // seeds
+constexpr int slowEventsOneIn = 2; // seeds in which servers stall
+constexpr int mostStallGroups = 3;
+constexpr int longestStallSeries = 3;
+constexpr int shortestStall = 500; // ms
+constexpr int longestStall = 6000; // ms
+constexpr int longestStallPause = 1500; // ms, from the end of a stall to the next of its series
+constexpr auto slowEventInterval = std::chrono::milliseconds(100);
+constexpr auto lowTargetLatency = std::chrono::milliseconds(500);
+constexpr auto lowTargetGap = std::chrono::milliseconds(250);
 constexpr auto evacuationLead = std::chrono::seconds(5); // until no request may arrive any more
 // One group of faults begins each second or so: with lengths up to four seconds two or three overlap.
 constexpr auto meanPause = std::chrono::milliseconds(900);
@@ -151,6 +163,39 @@
     plan.push_back(fault);
 }
 
+/// The numbers for the stalls of a seed. `hasStalls` and `hasSlowEvents` are drawn first.
+struct stall_numbers {
+    explicit stall_numbers(std::uint64_t seed)
+        : random(seed ^ stallSalt)
+        , hasStalls(random() % stallsOneIn == 0)
+        , hasSlowEvents(hasStalls && random() % slowEventsOneIn == 0)
+    {
+    }
+
+    std::mt19937_64 random;
+    bool hasStalls;
+    bool hasSlowEvents;
+};
+
+/// Stalls alone and in series, of the same servers or of others each time.
+void addStalls(std::vector<planned_fault>& plan, std::uint64_t seed, duration end)
+{
+    stall_numbers numbers(seed);
+    std::mt19937_64& random = numbers.random;
+    if (!numbers.hasStalls)
+        return;
+    for (int i = drawBetween(random, 1, mostStallGroups); i > 0; --i) {
+        duration at(drawBetween(random, 0, static_cast<int>(end.count())));
+        for (int left = drawBetween(random, 1, longestStallSeries); left > 0 && at < end; --left) {
+            planned_fault fault = drawFault(random, at);
+            fault.kind = fault_kind::ServersStall;
+            fault.lasts = duration(drawBetween(random, shortestStall, longestStall));
+            plan.push_back(fault);
+            at += fault.lasts + duration(drawBetween(random, 0, longestStallPause));
+        }
+    }
+}
+
 } // namespace
 
 std::string_view toString(fault_kind kind)
@@ -180,8 +225,51 @@
     addKilledFleets(plan, seed, end);
     addReleases(plan, seed, end);
     addCrashingPart(plan, seed, end);
+    addStalls(plan, seed, end);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
     return plan;
 }
 
+server_share stalledServers(const planned_fault& fault, std::size_t serversOfEach)
+{
+    enum {
+        Press,
+        Engines,
+        Both,
+        Services
+    };
+    enum {
+        One,
+        Third,
+        All,
+        Shares
+    };
+    const unsigned service = fault.variant % Services;
+    server_share share { service != Engines, service != Press, serversOfEach };
+    switch (fault.variant / Services % Shares) {
+    case One:
+        share.ofEach = 1;
+        break;
+    case Third:
+        share.ofEach = (serversOfEach + 2) / 3;
+        break;
+    default:
+        break;
+    }
+    return share;
+}
+
+soak_pace drawPace(std::uint64_t seed)
+{
+    const stall_numbers numbers(seed);
+    soak_pace pace;
+    if (numbers.hasStalls) {
+        pace.targetLatency = lowTargetLatency;
+        pace.targetGap = lowTargetGap;
+    }
+    if (numbers.hasSlowEvents)
+        pace.eventInterval = slowEventInterval;
+    return pace;
+}
+
 } // namespace soak
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -32,6 +32,7 @@
     ServiceFails, ///< all backend servers of a service reject or cut what they get
     EnginesReleased, ///< one engine after another is replaced by one of a new version; some or all
     PartCrashesEngines, ///< engines crash when they begin to answer prompts with a certain part
+    ServersStall, ///< one, a third or all servers of a service, or of both, send nothing, then go on
     DataCentreEvacuated, ///< half of the backend servers may get nothing; they are cold at the end
 };
 
@@ -47,6 +48,16 @@
     unsigned variant = 0; ///< which of the ways to misbehave, modulo their number
 };
 
+/// Which backend servers a fault hits.
+struct server_share {
+    bool hasPress = false; ///< the plain servers
+    bool hasEngines = false;
+    std::size_t ofEach = 0; ///< servers of each service that is hit
+};
+
+/// Returns the servers that stall. Precondition: the fault is of the kind ServersStall. Thread safe.
+server_share stalledServers(const planned_fault& fault, std::size_t serversOfEach);
+
 /// The size of a run.
 struct soak_size {
     std::size_t nodes = 3;
@@ -59,4 +70,16 @@
 /// The last fifth of the run stays free of new ones. Thread safe.
 std::vector<planned_fault> drawPlan(std::uint64_t seed, const soak_size& size);
 
+/// How fast servers answer, and how fast the routes want it.
+struct soak_pace {
+    duration eventInterval = std::chrono::milliseconds(2); ///< from one event of a stream to the next
+    duration targetLatency = std::chrono::seconds(5);
+    duration targetGap = std::chrono::seconds(5); ///< between two events
+};
+
+/// Returns the pace of a seed. Where servers stall, the targets are low enough for the nodes to take a stall
+/// for silence, and in some of these seeds streams last for seconds, so that it hits them midway. Thread
+/// safe.
+soak_pace drawPace(std::uint64_t seed);
+
 } // namespace soak
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -4,6 +4,7 @@
 #include "processtools/waituntil.h"
 
 #include <array>
+#include <fstream>
 #include <sstream>
 #include <thread>
 
@@ -17,7 +18,8 @@
 using platform_standin::store_mode;
 
 constexpr duration tickPeriod = std::chrono::milliseconds(20);
-constexpr unsigned eventsOfStream = 30; // of 2 ms
+constexpr unsigned eventsOfStream = 30;
+constexpr duration logTime = std::chrono::milliseconds(1500); // until a node has written its lines
 
 constexpr std::size_t cutNode = 0; // the first to start
 constexpr std::size_t pathAddress = 240; // index of the address of its paths, behind those of all nodes
@@ -49,17 +51,20 @@
     : m_size(size)
     , m_seed(seed)
     , m_plan(drawPlan(seed, size))
+    , m_pace(drawPace(seed))
     , m_world(0, [this](unsigned short port) { return routed(port); })
     , m_lives(size.nodes)
     , m_engineVersions(size.servers, 1)
 {
     m_evidence.wholeStream = platform_standin::eventsUpTo(eventsOfStream);
     m_evidence.nodeFaults.resize(size.nodes);
+    m_evidence.nodeEnds.resize(size.nodes);
+    m_evidence.pathNode = cutNode;
     for (std::size_t i = 0; i < 2 * size.servers; ++i) {
         m_serving.push_back(0);
         replaceServer(i);
     }
-    m_world.configure(m_version, true);
+    configure(true);
     m_world.setRetryLimits(retriesPerCall, extraRetries);
     // The node that may be cut off starts before its peers, of which it could copy addresses behind its
     // paths.
@@ -79,6 +84,7 @@
 std::string soak_run::describePlan() const
 {
     std::ostringstream text;
+    text << "an event each " << m_pace.eventInterval.count() << " ms\n";
     for (const planned_fault& fault : m_plan)
         text << fault.at.count() << " ms: " << toString(fault.kind) << " for " << fault.lasts.count()
              << " ms, target " << fault.target % m_size.nodes << '/' << fault.target % m_serving.size()
@@ -144,6 +150,7 @@
     m_serving[server] = m_servers.size() - 1;
     if (!isPress) {
         m_servers.back()->setEvents(eventsOfStream, eventsOfStream / 2);
+        m_servers.back()->setEventInterval(m_pace.eventInterval);
         m_servers.back()->act(replica_act::Stream);
         const std::string version = "v" + std::to_string(m_engineVersions[server - m_size.servers]);
         m_servers.back()->setEventType(version);
@@ -165,6 +172,15 @@
     m_world.announce(*m_servers[m_serving[server]], isPress ? "press" : "engines", entry);
 }
 
+void soak_run::configure(bool hasSecondKey)
+{
+    configuration_content content;
+    content.hasSecondKey = hasSecondKey;
+    content.latencyMs = static_cast<unsigned>(m_pace.targetLatency.count());
+    content.gapMs = static_cast<unsigned>(m_pace.targetGap.count());
+    m_world.configure(++m_version, content);
+}
+
 void soak_run::until(duration lasts, std::function<void()> undo)
 {
     m_ends.push_back({ now() + lasts, std::move(undo) });
@@ -196,6 +212,7 @@
     if (!life.isToRestart) {
         m_evidence.ownEnds.push_back(target.name);
         faultOnNode(node, startTime);
+        m_evidence.nodeEnds[node].push_back({ now() - startTime, now() + startTime });
     }
     life.isToRestart = false;
     m_world.restartNode(target);
@@ -252,10 +269,35 @@
 {
     for (const auto& server : m_servers) {
         const std::vector<time_point> crashes = server->crashTimes();
+        m_evidence.crashes[server->id()] = crashes;
         m_evidence.partCrashes.insert(m_evidence.partCrashes.end(), crashes.begin(), crashes.end());
         for (platform_standin::replica_request& request : server->requests())
             m_evidence.arrivals.push_back({ server->id(), std::move(request) });
     }
+    collectCutAnswers();
+}
+
+void soak_run::collectCutAnswers()
+{
+    std::this_thread::sleep_for(logTime);
+    for (std::size_t i = 0; i < m_size.nodes; ++i) {
+        const gateway_node& node = m_world.node(i);
+        for (unsigned start = 1; start <= node.starts; ++start)
+            readCutAnswers(m_world.folder() + "/" + node.name + "." + std::to_string(start) + ".log");
+    }
+}
+
+void soak_run::readCutAnswers(const std::string& file)
+{
+    std::ifstream log(file);
+    for (std::string line; std::getline(log, line);) {
+        constexpr std::string_view idField = "\"request\":\"";
+        const std::size_t at = line.find(idField);
+        if (line.find("\"answer_cut\",\"severity\"") == std::string::npos || at == std::string::npos)
+            continue;
+        const std::size_t begin = at + idField.size();
+        m_evidence.reportedCuts.insert(line.substr(begin, line.find('"', begin) - begin));
+    }
 }
 
 } // namespace soak
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -53,6 +53,8 @@
     void beginOnNode(const planned_fault& fault, std::size_t node);
     void beginOnStore(const planned_fault& fault, std::size_t node);
     void beginOnServer(const planned_fault& fault);
+    /// Writes the next version of the configuration.
+    void configure(bool hasSecondKey);
     void takeKeyAway(duration lasts);
     void cutOffNode(const planned_fault& fault);
     void killFleet(const planned_fault& fault);
@@ -65,6 +67,8 @@
     void leave(std::size_t server);
     void releaseEngines(const planned_fault& fault);
     void crashUnderPart(duration lasts);
+    void stallServers(const planned_fault& fault);
+    void stall(std::size_t server, duration lasts);
     void announce(std::size_t server, const std::string& state, duration coldFor = {});
     void until(duration lasts, std::function<void()> undo);
     void faultOnNode(std::size_t node, duration lasts);
@@ -73,6 +77,9 @@
     void endAll();
     void awaitService();
     void collect();
+    /// Reads the logs of the nodes for answers that they have cut.
+    void collectCutAnswers();
+    void readCutAnswers(const std::string& file);
 
     platform_standin::standin_thread m_proxyThread;
     std::map<unsigned short, std::unique_ptr<platform_standin::fault_proxy>>
@@ -83,12 +90,13 @@
     soak_size m_size;
     std::uint64_t m_seed;
     std::vector<planned_fault> m_plan;
+    soak_pace m_pace;
     gateway_testbed m_world;
     std::vector<std::unique_ptr<platform_standin::replica_standin>> m_servers; ///< all there ever were
     std::vector<std::size_t> m_serving; ///< positions in m_servers; press first, then engines
     std::vector<node_life> m_lives;
     std::vector<pending_end> m_ends;
-    unsigned m_version = 1; ///< of the configuration
+    unsigned m_version = 0; ///< of the configuration
     std::vector<unsigned> m_engineVersions; ///< of the software, by the engine's place
     unsigned m_newestEngines = 1; ///< the highest one of these
     std::map<std::string, unsigned> m_evacuations; ///< in force now, by data centre
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 using namespace std::chrono_literals;
+using platform_standin::replica_act;
 using soak::arrival;
 using soak::brokenPromises;
 using soak::call_kind;
@@ -38,19 +39,29 @@
         { "a", call_kind::Payment, 0, false, start, start + 100ms, 200, true, true, "a", "press-1" });
     evidence.arrivals.push_back(runAt("press-1", "a"));
     evidence.nodeFaults.resize(1);
+    evidence.nodeEnds.resize(1);
     evidence.wholeStream = "id: 1\n\nid: 2\n\n";
     return evidence;
 }
 
 using texts = std::vector<std::string>;
 
-/// A stream at the only node that broke off after events of these versions.
+/// A stream at the only node that its caller gave up after events of these versions.
 soak::call_record chatCall(const std::string& id, const texts& versions, const std::string& resumes = {})
 {
     soak::call_record call { id, call_kind::Chat, 0, false, start + 5s, start + 6s, 200, false, true, id,
         "" };
     call.versions = versions;
     call.resumes = resumes;
+    call.hasTimedOut = true;
+    return call;
+}
+
+/// A stream at the only node that ended before its last event, and before its caller left.
+soak::call_record cutCall(const std::string& id)
+{
+    soak::call_record call = chatCall(id, { "v1" });
+    call.hasTimedOut = false;
     return call;
 }
 
@@ -103,6 +114,7 @@
     evidence.calls[0].body = "id: 1\n\n";
     BOOST_TEST(brokenCount(evidence) == 1u);
     evidence.calls[0].isWhole = false;
+    evidence.calls[0].hasTimedOut = true;
     BOOST_TEST(brokenCount(evidence) == 0u);
 }
 
@@ -253,6 +265,74 @@
     BOOST_TEST(brokenCount(evidence) == 0u);
 }
 
+// Guards against answers cut, or replaced by a failure, though their server goes on with them.
+BOOST_AUTO_TEST_CASE(cut_answers_of_servers_that_go_on_are_seen)
+{
+    soak_evidence evidence = soundEvidence();
+    evidence.calls.push_back(cutCall("b"));
+    evidence.reportedCuts.insert("b");
+    BOOST_TEST(brokenCount(evidence) == 0u); // it reached no server
+    evidence.arrivals.push_back(runAt("engine-1", "b", start + 5s));
+    evidence.arrivals.back().request.act = replica_act::Stream;
+    BOOST_TEST(brokenCount(evidence) == 1u);
+    BOOST_TEST(brokenPromises(evidence, std::nullopt).size() == 1u);
+    evidence.nodeFaults[0] = { { start + 5s, start + 6s } }; // as of a silent store
+    BOOST_TEST(brokenCount(evidence) == 1u);
+    for (const int status : { 0, 502, 504 }) {
+        evidence.calls.back().status = status;
+        evidence.calls.back().isMarked = false;
+        BOOST_TEST(brokenCount(evidence) == 1u);
+    }
+    evidence.calls.back().status = 500;
+    evidence.calls.back().isMarked = true;
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
+// Guards against blaming the nodes for what servers, links, callers and kills cut.
+BOOST_AUTO_TEST_CASE(answers_that_others_cut_are_excused)
+{
+    soak_evidence cut = soundEvidence();
+    cut.calls.push_back(cutCall("b"));
+    cut.reportedCuts.insert("b");
+    cut.arrivals.push_back(runAt("engine-1", "b", start + 5s));
+    cut.arrivals.back().request.act = replica_act::Stream;
+    const auto isExcusedBy = [&](const auto& change) {
+        soak_evidence evidence = cut;
+        change(evidence);
+        return brokenCount(evidence) == 0;
+    };
+    BOOST_TEST(!isExcusedBy([](soak_evidence&) {}));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.calls.back().hasTimedOut = true; }));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.calls.back().endedAt = start + 10600ms; }));
+    BOOST_TEST(isExcusedBy([](auto& each) {
+        each.calls.back().isWhole = true;
+        each.calls.back().body = each.wholeStream;
+    }));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.arrivals.back().request.act = replica_act::StreamCut; }));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.crashes["engine-1"] = { start + 5500ms }; }));
+    BOOST_TEST(!isExcusedBy([](auto& each) { each.crashes["engine-1"] = { start + 4s, start + 7s }; }));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.linkFaults["engine-1"] = { { start, start + 1s } }; }));
+    BOOST_TEST(!isExcusedBy([](auto& each) { each.linkFaults["engine-2"] = { { start, start + 9s } }; }));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.nodePathFaults = { { start + 5s, start + 6s } }; }));
+    BOOST_TEST(isExcusedBy([](auto& each) { each.nodeEnds[0] = { { start + 6s, start + 7s } }; }));
+    BOOST_TEST(!isExcusedBy([](auto& each) { each.nodeEnds[0] = { { start + 7s, start + 8s } }; }));
+    // The first server broke off, and the one that took over went on.
+    BOOST_TEST(!isExcusedBy([](auto& each) {
+        each.arrivals.push_back(runAt("engine-2", "b", start + 4900ms));
+        each.arrivals.back().request.act = replica_act::StreamCut;
+    }));
+}
+
+// Guards against answers cut without a trace.
+BOOST_AUTO_TEST_CASE(cut_answers_that_no_log_names_are_seen)
+{
+    soak_evidence evidence = soundEvidence();
+    evidence.calls.push_back(cutCall("b"));
+    BOOST_TEST(brokenCount(evidence) == 1u);
+    evidence.reportedCuts.insert("b");
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(last_event_is_the_last_whole_one)
 {
     const std::string body = platform_standin::eventsUpTo(12);
--- a/tests/soak/tst_soakseeds.cpp
+++ b/tests/soak/tst_soakseeds.cpp
@@ -9,6 +9,8 @@
 constexpr std::uint64_t seeds[] {
     1, 2,
     133, ///< 401 with a key that held when the call was sent: it was taken away before the call was taken up
+    930080, ///< streams midway and lookups cut while all servers stalled, though the servers went on
+    930356, ///< the same, in a series
 };
 
 } // namespace
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -230,6 +230,7 @@
     {
         const std::lock_guard lock(m_mutex);
         act = m_act;
+        decoded.act = act;
         decoded.isRun = act != replica_act::Shed;
         m_requests.push_back(decoded);
     }
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -50,6 +50,7 @@
     std::string body;
     std::map<std::string, std::string> headers; ///< by name in lower case
     bool isRun = true; ///< false: it said that it has not run it
+    replica_act act = replica_act::Answer; ///< what the replica did with it
     std::chrono::steady_clock::time_point arrivedAt {};
 };
 
