--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -58,7 +58,7 @@
     json::array keys { "key-1" };
     if (content.hasSecondKey)
         keys.push_back("key-2");
-    const json::object engine { { "slots", 8 }, { "kvCapacity", 100000 }, { "kvBytes", 18432 },
+    const json::object engine { { "slots", content.slots }, { "kvCapacity", 100000 }, { "kvBytes", 18432 },
         { "linkMbps", 130000 } };
     const json::object document {
         { "resourceVersion", version },
@@ -70,8 +70,8 @@
         { "services",
             json::array { json::object { { "name", "press" }, { "healthPath", "/healthz" }, { "maxConns", 9 },
                               { "coldStartS", 3 }, { "coldPerS", content.coldRequestsPerSecond } },
-                json::object { { "name", "engines" }, { "healthPath", "/healthz" }, { "maxConns", 9 },
-                    { "engine", engine } } } },
+                json::object { { "name", "engines" }, { "healthPath", "/healthz" },
+                    { "maxConns", content.slots + 1 }, { "engine", engine } } } },
         { "limits",
             json::object { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 3000 },
                 { "idleTimeoutMs", 15000 } } },
@@ -93,9 +93,9 @@
 {
     const json::object entry { { "backend", service },
         { "address", "127.0.0.1:" + std::to_string(routed(replica.port())) },
-        { "zone", described.dataCentre }, { "resourceVersion", described.softwareVersion }, { "slots", 8 },
-        { "state", described.state }, { "coldRemainingMs", described.coldMs }, { "sequence", 1 },
-        { "born", 1700000000000 } };
+        { "zone", described.dataCentre }, { "resourceVersion", described.softwareVersion },
+        { "slots", described.slots }, { "state", described.state }, { "coldRemainingMs", described.coldMs },
+        { "sequence", 1 }, { "born", 1700000000000 } };
     m_store.put("servers/" + replica.id(), json::serialize(entry));
 }
 
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -31,6 +31,7 @@
     std::string dataCentre = "a"; ///< "a" and "b" are in "north", "c" in "south"
     unsigned coldMs = 0;
     std::string softwareVersion = "v1";
+    unsigned slots = 8;
 };
 
 /// What a configuration says besides its version.
@@ -42,6 +43,7 @@
     unsigned latencyMs = 5000; ///< target of all routes
     unsigned gapMs = 5000; ///< target between two events
     unsigned timeoutMs = 20000; ///< of all routes
+    unsigned slots = 8; ///< of each replica of the service "engines"
 };
 
 /// Real gateway processes with stand-ins for the platform's store and for replicas. Tests wait for states,
