A request that may have run goes on past more than four servers out of reach

Streams that had begun were cut when all servers of their service restarted at once, though these were back after 1.5 s: four attempts that could not connect ended the request, within milliseconds where connections are refused. The limit is right for a request that has provably not run, whose caller is told to send it again; one that may have run has nothing else. The class: given up with time left.

The limit is 16 there. Time bounds it besides: the wait for a server in reach, and the deadline.

streams_outlast_a_restart_of_all_servers, real processes, printed before: wholeStreams(replies) == few has failed [0 != 4], three runs of three; since then 4 of 4, four runs. a_request_that_may_have_run_goes_on_past_servers_out_of_reach failed before with the new constant alone (mayRetry false twelve times of sixteen). tst_gateway, tst_silentservers, tst_cutoffnodes and tst_streamversions passed.

--- a/src/libs/gateway/attempt.cpp
+++ b/src/libs/gateway/attempt.cpp
@@ -62,9 +62,9 @@
 {
     if (m_last == Answered || m_last == Stopped || m_last == NoRepeat)
         return false;
-    if (m_unsent >= maxUnsent || m_notRun >= maxNotRun)
+    if (m_unsent >= (hasProvablyNotRun() ? maxUnsent : maxUnsentAfterRun) || m_notRun >= maxNotRun)
         return false;
-    if (m_mayHaveRun == 0)
+    if (hasProvablyNotRun())
         return true;
     return m_mayRepeat && m_mayHaveRun < m_maxRuns;
 }
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -72,6 +72,8 @@
 
     /// Limit of attempts that sent nothing; further ones find no server either.
     static constexpr unsigned maxUnsent = 4;
+    /// The same for a request that may have run, whose caller cannot be told to send it again.
+    static constexpr unsigned maxUnsentAfterRun = 16;
     /// Limit of attempts that servers rejected without running them; each costs one retry of the budget.
     static constexpr unsigned maxNotRun = 3;
 
--- a/tests/auto/gateway/tst_attempt.cpp
+++ b/tests/auto/gateway/tst_attempt.cpp
@@ -66,6 +66,18 @@
     BOOST_TEST((unreachable.finalErrorKind() == error_kind::NoServer));
 }
 
+// Guards against giving up a request that may have run, because a few servers in a row are out of reach.
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_goes_on_past_servers_out_of_reach)
+{
+    attempt_record lookup(true, 2);
+    lookup.add(attempt_outcome::Cut);
+    for (unsigned i = 0; i < attempt_record::maxUnsentAfterRun; ++i) {
+        BOOST_TEST(lookup.mayRetry());
+        lookup.add(attempt_outcome::NotSent);
+    }
+    BOOST_TEST(!lookup.mayRetry());
+}
+
 BOOST_AUTO_TEST_CASE(an_exhausted_retry_budget_ends_the_attempts)
 {
     attempt_record lookup(true, 2);
--- a/tests/auto/gateway/tst_silentservers.cpp
+++ b/tests/auto/gateway/tst_silentservers.cpp
@@ -22,9 +22,12 @@
 /// A node before servers that can fall silent and go on. It may repeat as much as on the platform's sheets.
 class silent_testbed : public gateway_testbed {
 public:
-    silent_testbed()
+    /// `retriesPerRequest`: as on the platform's sheets, unless each request has to earn its own.
+    explicit silent_testbed(double retriesPerRequest = 0.2)
         : gateway_testbed(replicas)
     {
+        constexpr double extraRetries = 54;
+        setRetryLimits(retriesPerRequest, extraRetries);
         configuration_content content;
         content.latencyMs = 500;
         content.gapMs = 250;
@@ -83,6 +86,13 @@
     std::string log() { return node(0).process->log(); }
 };
 
+struct restart_testbed : silent_testbed {
+    restart_testbed()
+        : silent_testbed(4)
+    {
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(silent_servers)
@@ -177,6 +187,18 @@
     BOOST_TEST(wholeStreams(others) == 0);
 }
 
+// Guards against cutting streams whose servers all restart at once and are back soon.
+BOOST_FIXTURE_TEST_CASE(streams_outlast_a_restart_of_all_servers, restart_testbed)
+{
+    constexpr unsigned few = 4;
+    auto replies = begin("POST", repeatablePath, few);
+    awaitFirstEvents(few);
+    std::this_thread::sleep_for(2 * eventInterval);
+    for (std::size_t i = 0; i < replicas; ++i)
+        engine(i).crash();
+    BOOST_TEST(wholeStreams(replies) == few);
+}
+
 // Guards against a cut answer that leaves no line with its request and its cause.
 BOOST_FIXTURE_TEST_CASE(a_cut_answer_leaves_a_line, silent_testbed)
 {
