Test of streams that nothing can replace: one engine is known to run

Since attempts wait while most servers of a service are silent, an idle engine of which nothing is known takes no retry when the only two others are silent. The engine gets a stream of its own, so that the case still asks what it is for: do others wait behind attempts that nothing can replace.

--- a/tests/auto/gateway/tst_replacements.cpp
+++ b/tests/auto/gateway/tst_replacements.cpp
@@ -234,6 +234,10 @@
     BOOST_REQUIRE(engine(1).requestCount() == ofOneEngine);
     announce(engine(2), "engines");
     awaitUsable(replicas + 2);
+    // One that is known to run, by a stream that stays there.
+    auto running = begin("POST", "/draft/", 1);
+    awaitFirstEvents(2 * ofOneEngine + 1);
+    BOOST_REQUIRE(engine(2).requestCount() == 1u);
     engine(0).stall();
     std::this_thread::sleep_for(300ms);
     engine(1).stall();
@@ -242,7 +246,8 @@
     resumeAll();
     BOOST_TEST(wholeStreams(irreplaceable, longEvents) == ofOneEngine);
     BOOST_TEST(wholeStreams(replaceable, longEvents) == ofOneEngine);
-    BOOST_TEST(replaced > 0u);
+    BOOST_TEST(wholeStreams(running, longEvents) == 1u);
+    BOOST_TEST(replaced > 1u);
 }
 
 // Guards against requests that stop waiting for a retry and find that another has taken it meanwhile.
