A part in much use is spread by its share of each node's own requests

Cause: in a large fleet nodes hear of each other's requests late or never.

Change: where two requests with a part are in progress at once at a node, the one to be sent included, the part's share of the node's last 32 requests is taken for its share of the load of the service. If one engine has no room for that, it is spread over the first engines of the ranking, the less loaded of two drawn. Sessions, whose requests follow each other, and fleets of up to ten peers are not touched.

--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 namespace decisions {
@@ -99,9 +100,8 @@
     return best;
 }
 
-std::vector<server_choice::engine_view> server_choice::viewEngines(
-    const std::vector<server_candidate>& candidates, const placement_query& query, const server_loads& loads,
-    utils::time_point now) const
+server_choice::fleet_view server_choice::viewEngines(const std::vector<server_candidate>& candidates,
+    const placement_query& query, const server_loads& loads, utils::time_point now) const
 {
     std::vector<load_total> totals;
     double peerRequests = 0;
@@ -121,9 +121,10 @@
             views.push_back({ &candidate, totals[i], requests, heldTokens(candidate, query.parts),
                 penaltyOf(candidate), false });
     }
+    const mean_loads means = meanLoads(sum, candidates.size(), query.excluded);
     if (!views.empty())
-        boundEngines(views, meanLoads(sum, candidates.size(), query.excluded));
-    return views;
+        boundEngines(views, means);
+    return { std::move(views), means.ofCandidates, sum };
 }
 
 server_choice::mean_loads server_choice::meanLoads(
@@ -172,6 +173,38 @@
     return first;
 }
 
+const server_choice::engine_view* server_choice::engineOfSpread(const fleet_view& fleet,
+    const placement_query& query, const server_loads& loads, utils::time_point now) const
+{
+    if (loads.peerScale(now) <= 1)
+        return nullptr;
+    const std::uint64_t key = rankingKey(query.parts);
+    const double hotRequests = m_partUse.shareWithNext(key, now) * fleet.requests;
+    if (hotRequests <= (boundFactor - 1) * fleet.meanLoad + boundExtra)
+        return nullptr;
+    std::vector<const engine_view*> spread;
+    for (const engine_view& view : fleet.engines) {
+        if (view.isInBound && view.penalty < penaltyPerFailure)
+            spread.push_back(&view);
+    }
+    const auto needed = static_cast<std::size_t>(hotRequests / (spreadFactor * fleet.meanLoad)) + 1;
+    if (needed < spread.size()) {
+        std::ranges::sort(spread, std::greater<>(), [key](const engine_view* view) {
+            return view->candidate->weight * rankOf(view->candidate->id, key);
+        });
+        spread.resize(needed);
+    }
+    if (spread.size() < 2)
+        return nullptr;
+    // The lower of two drawn: nodes that all took the lowest would fill one engine after the other.
+    const auto draw = [&](std::uint64_t number) {
+        return spread[utils::combineHashes(query.salt, number) % spread.size()];
+    };
+    const engine_view* first = draw(1);
+    const engine_view* second = draw(2);
+    return second->requests < first->requests ? second : first;
+}
+
 bool server_choice::isUnexpected(const utils::server_id& server,
     const std::vector<server_candidate>& candidates, std::span<const prompt_part> parts)
 {
@@ -198,7 +231,13 @@
 std::optional<placement> server_choice::chooseEngine(const std::vector<server_candidate>& candidates,
     const placement_query& query, const server_loads& loads, utils::time_point now) const
 {
-    const std::vector<engine_view> views = viewEngines(candidates, query, loads, now);
+    const fleet_view fleet = viewEngines(candidates, query, loads, now);
+    if (const engine_view* chosen = engineOfSpread(fleet, query, loads, now)) {
+        const server_candidate& engine = *chosen->candidate;
+        return placement { engine.id, chosen->load, chosen->heldTokens,
+            costOf(*chosen, query, chosen->heldTokens), isUnexpected(engine.id, candidates, query.parts) };
+    }
+    const std::vector<engine_view>& views = fleet.engines;
     const server_candidate* presumed = presumedHolder(views, query);
     const double presumedTokens = presumedHeldShare * tokensOf(sharedOf(query.parts));
     std::optional<placement> best;
@@ -279,6 +318,18 @@
         addUpdate(server, shared, false, isUnexpected);
 }
 
+void server_choice::recordStarted(std::span<const prompt_part> parts, utils::time_point now)
+{
+    if (!sharedOf(parts).empty())
+        m_partUse.started(rankingKey(parts), now);
+}
+
+void server_choice::recordEnded(std::span<const prompt_part> parts)
+{
+    if (!sharedOf(parts).empty())
+        m_partUse.ended(rankingKey(parts));
+}
+
 void server_choice::recordWithdrawn(const server_candidate& server, std::span<const prompt_part> parts,
     std::uint32_t heldTokens, bool isUnexpected)
 {
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "partuse.h"
 #include "prefixindex.h"
 #include "responsetimes.h"
 #include "serverload.h"
@@ -117,6 +118,9 @@
     /// same few engines, while each node knows the loads from the other nodes a quarter of a second late.
     static constexpr double highLoadFactor = 1.2;
     static constexpr double highLoadExtra = 1;
+    /// Requests with a part in much use that each engine of its spread should have, as a fraction of the mean
+    /// load. Loads differ by chance where nodes hear of them late, so that little may be added to an engine.
+    static constexpr double spreadFactor = 0.15;
 
     /// Returns nothing when no candidate has a weight above zero.
     std::optional<placement> choose(const std::vector<server_candidate>& candidates,
@@ -137,6 +141,10 @@
     /// that choose() returned.
     void recordSent(
         const server_candidate& server, std::span<const prompt_part> parts, bool isUnexpected = false);
+    /// Records that a request with these parts is sent, wherever to: parts in much use are spread.
+    void recordStarted(std::span<const prompt_part> parts, utils::time_point now);
+    /// Records that the request ended. Precondition: a matching recordStarted() came before.
+    void recordEnded(std::span<const prompt_part> parts);
     /// Records that a request ended before its prefill finished. `heldTokens` of its prompt were held before
     /// it was sent; the parts after them are no longer counted as held, so that the next request with these
     /// parts is given the time for their prefill.
@@ -178,12 +186,24 @@
         double penalty = 0; ///< as a fraction of the target
         bool isInBound = false;
     };
-    std::vector<engine_view> viewEngines(const std::vector<server_candidate>& candidates,
-        const placement_query& query, const server_loads& loads, utils::time_point now) const;
+    /// The engines that may be chosen, and the mean load of all candidates.
+    struct fleet_view {
+        std::vector<engine_view> engines;
+        double meanLoad = 0;
+        double requests = 0; ///< of all candidates
+    };
+    fleet_view viewEngines(const std::vector<server_candidate>& candidates, const placement_query& query,
+        const server_loads& loads, utils::time_point now) const;
     /// Returns the engine that most likely holds the shared parts when no engine is known to: the first one
     /// of their ranking that is within the bound. Null when a holder is known.
     static const server_candidate* presumedHolder(
         const std::vector<engine_view>& views, const placement_query& query);
+    /// Returns an engine for a prompt whose shared parts are in so much use that one engine cannot take all
+    /// requests with them; null otherwise. All nodes spread them alike over the first engines of the ranking,
+    /// as many as their load needs, before any node can hear of the load that they bring. Only in a large
+    /// fleet, whose nodes hear late of each other.
+    const engine_view* engineOfSpread(const fleet_view& fleet, const placement_query& query,
+        const server_loads& loads, utils::time_point now) const;
     /// Whether other nodes, which may not know what this one knows, look for the shared parts elsewhere: at
     /// the first engine of their ranking, be it out of use for the moment.
     static bool isUnexpected(const utils::server_id& server, const std::vector<server_candidate>& candidates,
@@ -207,6 +227,7 @@
     };
     std::unordered_map<utils::server_id, server_prefixes> m_prefixes;
     std::vector<placement_update> m_updates;
+    part_use m_partUse;
 };
 
 } // namespace decisions
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/attempttracker.cpp
@@ -18,6 +18,7 @@
 {
     m_isActive = true;
     ++m_context.sentRequests;
+    m_context.choice.recordStarted(m_plan.parts, now);
     m_server = server.id;
     m_sentAt = now;
     m_lastReceivedAt = now;
@@ -79,6 +80,7 @@
         m_context.choice.recordWithdrawn(m_candidate, m_plan.parts, m_heldTokens, m_isUnexpected);
     prefillDone();
     m_context.loads.finished(m_server);
+    m_context.choice.recordEnded(m_plan.parts);
     m_isActive = false;
     m_context.silence.requestEnded(m_server, m_number);
     if (outcome == attempt_outcome::Silent)
--- a/tests/auto/decisions/fleetsimulation.h
+++ b/tests/auto/decisions/fleetsimulation.h
@@ -75,6 +75,7 @@
         std::int64_t endsMs;
         unsigned node;
         unsigned engine;
+        std::vector<decisions::prompt_part> parts;
         bool operator>(const running_request& other) const { return endsMs > other.endsMs; }
     };
 
@@ -91,6 +92,7 @@
             m_running.pop();
             node_state& node = m_nodes[done.node];
             node.loads.finished(m_engines[done.engine].id);
+            node.choice.recordEnded(done.parts);
             --m_load[done.engine];
             node.loads.recordReport(m_engines[done.engine].id, m_load[done.engine], 0, timeOf(now));
         }
@@ -128,11 +130,12 @@
             std::ranges::find(m_engines, placed->server, &decisions::server_candidate::id)
             - m_engines.begin());
         count(engine, part, outcome);
+        node.choice.recordStarted(parts, timeOf(now));
         node.choice.recordSent(m_engines[engine], parts);
         node.loads.started(placed->server, 0);
         ++m_load[engine];
         ++m_sent;
-        m_running.push({ now + static_cast<std::int64_t>(300 + 1200 * uniform()), sender, engine });
+        m_running.push({ now + static_cast<std::int64_t>(300 + 1200 * uniform()), sender, engine, parts });
     }
 
     void count(unsigned engine, std::uint64_t part, fleet_outcome& outcome)
