Soak: the check on requests that nobody sent names them; as played

Ten requests without an id reached an engine in one play of (4 nodes, 40 callers), and the line did not say what they were.

--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -143,7 +143,9 @@
                 ++m_runs[request.id];
             const auto call = m_calls.find(request.id);
             if (call == m_calls.end()) {
-                breaks(request.id, "reached " + each.server + " though nobody asked");
+                breaks(request.id,
+                    "reached " + each.server + " though nobody asked: " + request.method + ' '
+                        + request.target);
                 continue;
             }
             const auto tenant = request.headers.find("lycheefront-tenant");
