Waits of a request in one class, by the time that they took

The four waits of request_flow (for a verdict, a retry, room at brittle servers, a server in reach) had the same six lines each and counted nominal pauses. stepped_wait counts the time spent, so that a late timer does not stretch a wait beyond its limit (finding of the review).

--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -11,13 +11,13 @@
 #include "requestplan.h"
 #include "responserelay.h"
 #include "responsewriter.h"
+#include "steppedwait.h"
 #include "stopscope.h"
 #include "wireprotocol.h"
 
 #include "wire/connect.h"
 #include "wire/task.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -80,9 +80,10 @@
             m_isRetryPaid = m_isRetryPaid || secured.has_value();
             if (secured && m_admission == crash_admission::Send)
                 mayGoOn = co_await trySecured(std::move(*secured));
-            else if (mustWaitForRetry())
-                mayGoOn = co_await waitForRetry();
-            else if (const std::optional<forward_target> peer = choosePeer())
+            else if (mustWaitForRetry()) {
+                co_await m_retryWait.wait();
+                mayGoOn = true;
+            } else if (const std::optional<forward_target> peer = choosePeer())
                 mayGoOn = co_await tryPeer(*peer, nullptr);
             else if (m_admission == crash_admission::Wait)
                 mayGoOn = co_await waitForVerdict();
@@ -140,11 +141,8 @@
     /// that has begun waits as long as its caller does: nothing else can bring the rest of it.
     boost::asio::awaitable<bool> waitForVerdict()
     {
-        constexpr utils::duration pause = std::chrono::milliseconds(20);
-        m_waitedForVerdict += pause;
-        boost::asio::steady_timer timer(m_context.executor, pause);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-        co_return m_writer.hasBegun() || m_waitedForVerdict < m_plan.route->targetLatency;
+        co_await m_verdictWait.wait();
+        co_return m_writer.hasBegun() || m_verdictWait.spent() < m_plan.route->targetLatency;
     }
 
     /// Whether the next attempt is a retry for which the budget has nothing left yet. The requests that
@@ -154,7 +152,7 @@
     {
         const utils::duration limit = std::min(maxWaitForRetry, m_plan.route->targetLatency / 2);
         const bool mayWait = m_record.isRetry() && !m_record.hasProvablyNotRun() && !m_isRetryPaid
-            && m_waitedForRetry < limit;
+            && m_retryWait.spent() < limit;
         if (!mayWait) {
             m_replacement.attemptEnded();
             return false;
@@ -167,15 +165,6 @@
         return !m_isRetryPaid;
     }
 
-    boost::asio::awaitable<bool> waitForRetry()
-    {
-        constexpr utils::duration pause = std::chrono::milliseconds(20);
-        m_waitedForRetry += pause;
-        boost::asio::steady_timer timer(m_context.executor, pause);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-        co_return true;
-    }
-
     /// Whether the caller has events from a peer that does not tell their version.
     bool hasEventsOfUnknownVersion() const { return m_relay.eventCount() > 0 && !m_result.streamVersion; }
 
@@ -273,7 +262,7 @@
             m_requestNumber * 31 + m_record.attempts(), m_suspectPart };
         const auto placement = chooseServer(m_context, m_plan, constraints, now());
         if (!placement && mayWaitForRoom()) {
-            co_await waitForRoom();
+            co_await m_roomWait.wait();
             co_return true;
         }
         if (!placement) {
@@ -353,15 +342,7 @@
     {
         return m_context.rejections.isLimited(m_plan.service, now())
             && !m_context.servers.usable(m_plan.service).empty()
-            && m_waitedForRoom < std::min(maxWaitForRoom, m_plan.route->targetLatency / 2);
-    }
-
-    boost::asio::awaitable<void> waitForRoom()
-    {
-        constexpr utils::duration pause = decisions::rejection_limiter::window / 2;
-        m_waitedForRoom += pause;
-        boost::asio::steady_timer timer(m_context.executor, pause);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            && m_roomWait.spent() < std::min(maxWaitForRoom, m_plan.route->targetLatency / 2);
     }
 
     /// Whether to wait until a server that is out of reach comes back, or until this node knows that it has
@@ -372,7 +353,7 @@
         const utils::duration limit = m_writer.hasBegun()
             ? maxWaitForServer
             : std::min(maxWaitForServer, m_plan.route->targetLatency / 2);
-        if (m_record.hasProvablyNotRun() || m_relay.hasFallback() || m_waitedForServer >= limit)
+        if (m_record.hasProvablyNotRun() || m_relay.hasFallback() || m_serverWait.spent() >= limit)
             return false;
         return std::ranges::any_of(m_context.servers.usable(m_plan.service),
             [&](const catalogue::backend_server* server) { return mayTakeLater(*server); });
@@ -390,10 +371,7 @@
 
     boost::asio::awaitable<void> waitForServer()
     {
-        constexpr utils::duration pause = std::chrono::milliseconds(50);
-        m_waitedForServer += pause;
-        boost::asio::steady_timer timer(m_context.executor, pause);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_await m_serverWait.wait();
         for (const utils::server_id& server : std::exchange(m_unreachedServers, {}))
             m_triedServers.erase(server);
     }
@@ -605,6 +583,8 @@
     static constexpr utils::duration maxWaitForRetry = std::chrono::seconds(1);
     // A node notices within a second that it has lost its path; a crashed server is back after some seconds.
     static constexpr utils::duration maxWaitForServer = std::chrono::seconds(3);
+    static constexpr utils::duration waitStep = std::chrono::milliseconds(20);
+    static constexpr utils::duration serverWaitStep = std::chrono::milliseconds(50);
     // Attempts that could not connect before the next one goes to a peer.
     static constexpr unsigned unsentBeforeForward = 2;
 
@@ -623,12 +603,12 @@
     std::vector<utils::server_id> m_unreachedServers; ///< among the tried ones: nothing was sent there
     std::set<std::string> m_triedPeers;
     utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
-    utils::duration m_waitedForRoom {};
-    utils::duration m_waitedForRetry {};
-    utils::duration m_waitedForServer {};
+    stepped_wait m_roomWait { m_context.executor, decisions::rejection_limiter::window / 2 };
+    stepped_wait m_retryWait { m_context.executor, waitStep };
+    stepped_wait m_serverWait { m_context.executor, serverWaitStep };
     crash_admission m_admission = crash_admission::Send;
     std::optional<std::uint64_t> m_suspectPart; ///< with SendAlone
-    utils::duration m_waitedForVerdict {};
+    stepped_wait m_verdictWait { m_context.executor, waitStep };
     flow_result m_result;
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
     bool m_isRetryPaid = false; ///< the next retry was taken from the budget already
