Tests of servers that fall silent share one test bed

tst_silentservers and tst_replacements had the same stalls, callers and counts. Paths of their requests differ now in both; requests that are alike count as one that crashes servers.

--- a/tests/auto/gateway/tst_replacements.cpp
+++ b/tests/auto/gateway/tst_replacements.cpp
@@ -1,5 +1,5 @@
-#include "gatewaytestbed.h"
 #include "rawcaller.h"
+#include "stalltestbed.h"
 
 #include "platformstandin/faultproxy.h"
 #include "processtools/freeport.h"
@@ -10,7 +10,6 @@
 #include <future>
 #include <thread>
 
-using platform_standin::eventsUpTo;
 using platform_standin::fault_proxy;
 using platform_standin::largeSize;
 using platform_standin::link_state;
@@ -20,80 +19,14 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t replicas = 3; ///< of each service
-constexpr unsigned events = 20; ///< of a stream
+constexpr std::size_t replicas = stall_testbed::replicas;
 constexpr unsigned streams = 18;
 constexpr unsigned lookups = 8;
 constexpr std::size_t pathAddress = 240; ///< index of the proxies' address, behind those of the nodes
 const std::string repeatablePath = "/chat/"; // two attempts
 
-configuration_content shortTargets()
-{
-    configuration_content content;
-    content.latencyMs = 500;
-    content.gapMs = 250;
-    return content;
-}
-
-class replacement_testbed : public gateway_testbed {
+class replacement_testbed : public stall_testbed {
 public:
-    replacement_testbed()
-        : gateway_testbed(replicas)
-    {
-        for (std::size_t i = 0; i < replicas; ++i) {
-            engine(i).setEvents(events, 0);
-            engine(i).setEventInterval(100ms);
-        }
-    }
-
-    void startOne()
-    {
-        startNode();
-        awaitReady(node(0));
-    }
-    void stallAll()
-    {
-        for (std::size_t i = 0; i < replicas; ++i) {
-            engine(i).stall();
-            press(i).stall();
-        }
-    }
-    void resumeAll()
-    {
-        for (std::size_t i = 0; i < replicas; ++i) {
-            engine(i).resume();
-            press(i).resume();
-        }
-    }
-    std::vector<std::future<http_reply>> begin(
-        const std::string& method, const std::string& target, unsigned count)
-    {
-        std::vector<std::future<http_reply>> replies;
-        for (unsigned i = 0; i < count; ++i) {
-            // Requests that are alike count as one that crashes servers.
-            const http_question asked
-                = question(method, target + std::to_string(++m_begun), method == "POST" ? "prompt" : "");
-            replies.push_back(std::async(std::launch::async, [this, asked] { return ask(node(0), asked); }));
-        }
-        return replies;
-    }
-    void awaitFirstEvents(unsigned count)
-    {
-        BOOST_REQUIRE(waitUntil([&] {
-            return metrics(node(0)).find(
-                       "lycheefront_first_event_seconds_count{service=\"engines\"} " + std::to_string(count))
-                != std::string::npos;
-        }));
-    }
-    static unsigned wholeStreams(std::vector<std::future<http_reply>>& replies, unsigned last = events)
-    {
-        unsigned whole = 0;
-        for (auto& reply : replies) {
-            const http_reply got = reply.get();
-            whole += got.status == 200 && got.isWhole && got.body == eventsUpTo(last) ? 1 : 0;
-        }
-        return whole;
-    }
     /// Waits until that many servers of both services may get requests.
     void awaitUsable(std::size_t servers)
     {
@@ -102,7 +35,6 @@
                 != std::string::npos;
         }));
     }
-    std::string log() { return node(0).process->log(); }
     bool hasLogged(const std::string& text) { return log().find(text) != std::string::npos; }
     /// Waits until the fixed part of the retries is there, which a process has only after a window.
     void awaitExtraRetries()
@@ -114,9 +46,6 @@
             return at != std::string::npos && std::stod(text.substr(at + name.size())) > 10.5;
         }));
     }
-
-private:
-    unsigned m_begun = 0;
 };
 
 /// Two nodes; the first one reaches the engines by proxies.
--- a/tests/auto/gateway/tst_silentservers.cpp
+++ b/tests/auto/gateway/tst_silentservers.cpp
@@ -1,4 +1,4 @@
-#include "gatewaytestbed.h"
+#include "stalltestbed.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -6,84 +6,29 @@
 #include <future>
 #include <thread>
 
-using platform_standin::eventsUpTo;
 using platform_standin::replica_act;
 
 namespace {
 
-constexpr std::size_t replicas = 3; ///< of each service
-constexpr unsigned events = 20; ///< of a stream
-constexpr auto eventInterval = std::chrono::milliseconds(100);
+constexpr std::size_t replicas = stall_testbed::replicas;
+constexpr unsigned events = stall_testbed::events;
+constexpr auto eventInterval = stall_testbed::eventInterval;
 constexpr unsigned streams = 18;
 constexpr unsigned lookups = 12;
-const std::string repeatablePath = "/chat/1"; // two attempts
-const std::string path = "/draft/1"; // one attempt
+const std::string repeatablePath = "/chat/"; // two attempts
+const std::string path = "/draft/"; // one attempt
 
 /// A node before servers that can fall silent and go on. It may repeat as much as on the platform's sheets.
-class silent_testbed : public gateway_testbed {
+class silent_testbed : public stall_testbed {
 public:
     /// `retriesPerRequest`: as on the platform's sheets, unless each request has to earn its own.
     explicit silent_testbed(double retriesPerRequest = 0.2)
-        : gateway_testbed(replicas)
     {
         constexpr double extraRetries = 54;
         setRetryLimits(retriesPerRequest, extraRetries);
-        configuration_content content;
-        content.latencyMs = 500;
-        content.gapMs = 250;
-        configure(1, content);
-        for (std::size_t i = 0; i < replicas; ++i) {
-            engine(i).setEvents(events, 0);
-            engine(i).setEventInterval(eventInterval);
-        }
-        startNode();
-        awaitReady(node(0));
+        configure(1, shortTargets());
+        startOne();
     }
-
-    void stallAll()
-    {
-        for (std::size_t i = 0; i < replicas; ++i) {
-            engine(i).stall();
-            press(i).stall();
-        }
-    }
-    void resumeAll()
-    {
-        for (std::size_t i = 0; i < replicas; ++i) {
-            engine(i).resume();
-            press(i).resume();
-        }
-    }
-    /// Asks at once, each call on a connection of its own.
-    std::vector<std::future<http_reply>> begin(
-        const std::string& method, const std::string& target, unsigned count)
-    {
-        std::vector<std::future<http_reply>> replies;
-        for (unsigned i = 0; i < count; ++i) {
-            const http_question asked = question(method, target, method == "POST" ? "prompt" : "");
-            replies.push_back(std::async(std::launch::async, [this, asked] { return ask(node(0), asked); }));
-        }
-        return replies;
-    }
-    /// Whether all streams have an event, and none its last one.
-    void awaitFirstEvents(unsigned count)
-    {
-        BOOST_REQUIRE(waitUntil([&] {
-            return metrics(node(0)).find(
-                       "lycheefront_first_event_seconds_count{service=\"engines\"} " + std::to_string(count))
-                != std::string::npos;
-        }));
-    }
-    static unsigned wholeStreams(std::vector<std::future<http_reply>>& replies)
-    {
-        unsigned whole = 0;
-        for (auto& reply : replies) {
-            const http_reply got = reply.get();
-            whole += got.status == 200 && got.isWhole && got.body == eventsUpTo(events) ? 1 : 0;
-        }
-        return whole;
-    }
-    std::string log() { return node(0).process->log(); }
 };
 
 struct restart_testbed : silent_testbed {
@@ -125,7 +70,7 @@
 BOOST_FIXTURE_TEST_CASE(answers_come_after_a_silence_of_all_servers, silent_testbed)
 {
     stallAll();
-    auto replies = begin("GET", "/look/1", lookups);
+    auto replies = begin("GET", "/look/", lookups);
     std::this_thread::sleep_for(std::chrono::milliseconds(1600));
     resumeAll();
     unsigned served = 0;
