--- a/src/libs/gateway/replacementsearch.h
+++ b/src/libs/gateway/replacementsearch.h
@@ -2,7 +2,6 @@
 
 #include "attempt.h"
 #include "attempttracker.h"
-#include "crashdirectory.h"
 #include "flowresult.h"
 #include "peerforwarder.h"
 #include "requestplan.h"
@@ -31,7 +30,6 @@
     struct dependencies {
         node_context& context;
         peer_forwarder& forwarder;
-        crash_directory& crashes;
         const client_request& request;
         const request_plan& plan;
         const attempt_record& record;
@@ -84,7 +82,9 @@
     std::optional<decisions::stall_reason> awaitRetry(utils::time_point now);
     std::optional<decisions::stall_reason> chooseServerCandidate(utils::time_point now);
     std::optional<decisions::stall_reason> choosePeerCandidate(utils::time_point now);
+    /// Opens a connection to the candidate, and commits once it is open.
     std::optional<decisions::stall_reason> connect(utils::time_point now);
+    /// Asks again whether the candidate may take the request, and pays for the retry.
     std::optional<decisions::stall_reason> commit(utils::time_point now);
     /// Whether attempts get their time anew, after most servers of the service were silent.
     bool isSettling(utils::time_point now);
@@ -97,8 +97,10 @@
         const utils::server_id& server, decisions::replacement_query query, utils::time_point now) const;
     bool isAdmitted(utils::time_point now) const;
     void record(decisions::stall_reason reason, utils::time_point now);
+    /// The request no longer counts among those that wait for a retry.
     void leaveQueue();
     void abandonConnection();
+    /// Opens a connection, and closes it again if it was abandoned meanwhile.
     static boost::asio::awaitable<void> open(node_context& context,
         std::shared_ptr<pending_connection> pending, boost::asio::ip::tcp::endpoint endpoint);
 
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -53,8 +53,8 @@
         , m_record(plan.route->mayRepeat(), plan.route->maxAttempts)
         , m_requestNumber(context.nextRequestNumber++)
         , m_tracker(context, plan, m_requestNumber)
-        , m_replacement({ context, services.forwarder, services.crashes, request, plan, m_record, m_tracker,
-              m_result, m_triedServers, m_triedPeers, m_requestNumber })
+        , m_replacement({ context, services.forwarder, request, plan, m_record, m_tracker, m_result,
+              m_triedServers, m_triedPeers, m_requestNumber })
         , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_replacement, m_result,
               m_streams })
     {
--- a/tests/auto/gateway/tst_replacementsearch.cpp
+++ b/tests/auto/gateway/tst_replacementsearch.cpp
@@ -1,5 +1,7 @@
 #include "gateway/replacementsearch.h"
 
+#include "gateway/crashdirectory.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -49,7 +51,7 @@
 {
     const gateway::attempt_tracker tracker(context, plan, 1);
     gateway::replacement_search search(gateway::replacement_search::dependencies {
-        context, forwarder, crashes, request, plan, record, tracker, result, triedServers, triedPeers, 1 });
+        context, forwarder, request, plan, record, tracker, result, triedServers, triedPeers, 1 });
     (void)search.nextCheck(now + 10ms, now + 10ms);
     BOOST_TEST((crashes.admit(plan, 2, now + 20ms).admission == crash_admission::SendAlone));
 }
