Servers that ask for rest or leave are heard and logged

Nothing read Retry-After or Server-Leaving in the answers of backend servers, so no line told whether a server had asked for rest, for how long, and what was left of it. Each wish is now a line (server_asks_for_rest, server_leaves, server_notice_unreadable), from the head of every answer, that to another request too; counters for wishes and for requests that are sent into a rest, a gauge for servers at rest. Nothing decides by it yet.

--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/messages.h
@@ -71,6 +71,10 @@
     std::optional<reported_load> load;
     /// The server may fail if it has to reject more requests than that in a second.
     std::optional<unsigned> rejectionsPerSecond;
+    /// The server has turned the request away and wants no requests from this node for this time.
+    std::optional<utils::duration> restFor;
+    bool isRestUnreadable = false; ///< it names a time that cannot be read
+    bool isLeaving = false; ///< the server ends soon
     std::optional<utils::duration> idleLimit; ///< the server closes a connection that is idle for longer
     std::vector<header_line> forwardedHeaders; ///< headers that are forwarded to the caller
 };
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -8,6 +8,7 @@
 #include "peerlink.h"
 #include "peertable.h"
 #include "recordkeeper.h"
+#include "servernotices.h"
 #include "streamdirectory.h"
 #include "textserver.h"
 #include "viewupdater.h"
@@ -47,6 +48,7 @@
         , m_prober(m_context)
         , m_streams(m_context, m_peers)
         , m_crashes(m_context, m_peers)
+        , m_notices(m_context)
         , m_versionKeeper(m_context, m_peers, version_record { m_context.versions })
         , m_partKeeper(m_context, m_peers, part_record { m_context.crashingParts })
         , m_acceptor(executor)
@@ -128,6 +130,7 @@
         gauges.serversKnown = static_cast<double>(m_context.servers.size());
         gauges.serversUsable = static_cast<double>(m_context.servers.usableCount());
         gauges.evacuatedDataCentres = static_cast<double>(m_context.servers.evacuated().size());
+        gauges.serversResting = static_cast<double>(m_context.rests.askedCount(present));
         gauges.servicesCutOff = static_cast<double>(m_context.reachability.cutOffServices().size());
         gauges.peers = static_cast<double>(m_peers.livePeers(present).size());
         gauges.fleetNodes = m_context.fleetSize.nodes();
@@ -206,8 +209,8 @@
 
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket, std::uint64_t receiver)
     {
-        const auto accepted = std::make_shared<session>(
-            m_context, flow_services { m_forwarder, m_streams, m_crashes }, std::move(socket), receiver);
+        const auto accepted = std::make_shared<session>(m_context,
+            flow_services { m_forwarder, m_streams, m_crashes, m_notices }, std::move(socket), receiver);
         m_sessions.push_back(accepted);
         co_await accepted->run();
     }
@@ -286,6 +289,7 @@
         }
         m_context.coldStarts.expire(present);
         m_context.rejections.expire(present);
+        m_context.rests.expire(present);
     }
 
     void advanceStop(utils::time_point present)
@@ -429,6 +433,7 @@
     path_prober m_prober;
     stream_directory m_streams;
     crash_directory m_crashes;
+    server_notices m_notices;
     record_keeper<Store, version_record> m_versionKeeper;
     record_keeper<Store, part_record> m_partKeeper;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -58,6 +58,7 @@
     , reachability(utils::hash64(options.name))
     , coldStarts(startedAt)
     , rejections(startedAt)
+    , rests(utils::hash64(options.name))
     , poison(poisonLimits())
     , pool(idleConnectionTimeout)
     , window(windowLimits(options.stopGrace), startedAt)
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -21,6 +21,7 @@
 #include "decisions/serverhealth.h"
 #include "decisions/serverload.h"
 #include "decisions/serverreachability.h"
+#include "decisions/serverrests.h"
 #include "decisions/servicewindow.h"
 #include "decisions/silencedetector.h"
 #include "decisions/stalledattempts.h"
@@ -61,6 +62,7 @@
     decisions::server_reachability reachability; ///< from the connections of this node
     decisions::cold_start_limiter coldStarts;
     decisions::rejection_limiter rejections;
+    decisions::server_rests rests;
     decisions::recent_failures failures;
     decisions::silence_detector silence;
     decisions::stalled_attempts stalls; ///< of this node's attempts at backend servers
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -57,6 +57,10 @@
         "Streams resumed by callers, by service, source of the origin and end");
     counter_family& coldRequests
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
+    counter_family& rests = counters(
+        "lycheefront_server_rests_total", "Answers in which a backend server asks for rest, by service");
+    counter_family& requestsInRest = counters("lycheefront_requests_in_rest_total",
+        "Requests sent to a backend server that wants none from this node, by service");
     counter_family& connects = counters(
         "lycheefront_server_connects_total", "Connections opened to backend servers, by service and end");
     counter_family& forwards
@@ -89,6 +93,8 @@
     prometheus::Gauge& known = gauge("lycheefront_servers_known", "Backend servers with an entry");
     prometheus::Gauge& evacuated
         = gauge("lycheefront_data_centres_evacuated", "Data centres whose backend servers get no requests");
+    prometheus::Gauge& resting = gauge(
+        "lycheefront_servers_resting", "Backend servers that want no requests from this node for a while");
     prometheus::Gauge& cutOff
         = gauge("lycheefront_services_cut_off", "Services whose backend servers this node cannot connect to");
     prometheus::Gauge& peers = gauge("lycheefront_peers", "Other nodes heard lately");
@@ -160,6 +166,16 @@
     d->coldRequests.Add({ { "service", str(service) } }).Increment();
 }
 
+void node_metrics::countRest(std::string_view service)
+{
+    d->rests.Add({ { "service", str(service) } }).Increment();
+}
+
+void node_metrics::countRequestInRest(std::string_view service)
+{
+    d->requestsInRest.Add({ { "service", str(service) } }).Increment();
+}
+
 void node_metrics::countConnect(std::string_view service, bool isAccepted)
 {
     d->connects.Add({ { "service", str(service) }, { "end", isAccepted ? "accepted" : "failed" } })
@@ -214,6 +230,7 @@
     d->usable.Set(gauges.serversUsable);
     d->known.Set(gauges.serversKnown);
     d->evacuated.Set(gauges.evacuatedDataCentres);
+    d->resting.Set(gauges.serversResting);
     d->cutOff.Set(gauges.servicesCutOff);
     d->peers.Set(gauges.peers);
     d->fleetNodes.Set(gauges.fleetNodes);
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -27,6 +27,7 @@
     double serversUsable = 0;
     double serversKnown = 0;
     double evacuatedDataCentres = 0;
+    double serversResting = 0; ///< that want no requests from this node
     double servicesCutOff = 0; ///< services whose backend servers this node cannot connect to
     double peers = 0;
     double fleetNodes = 0; ///< that share the fleet's bounds; 0: not known yet
@@ -66,6 +67,10 @@
     void countResumption(std::string_view service, std::string_view source, bool isAnswered);
     /// Counts a request that is sent to a cold backend server.
     void countColdRequest(std::string_view service);
+    /// Counts an answer in which a backend server asks for rest.
+    void countRest(std::string_view service);
+    /// Counts a request that is sent to a backend server which has asked this node for rest.
+    void countRequestInRest(std::string_view service);
     /// Counts a connection to a backend server that was accepted or not.
     void countConnect(std::string_view service, bool isAccepted);
     /// Counts a caller's connection that was closed before its request was read.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -32,6 +32,7 @@
     peer_forwarder& forwarder;
     stream_directory& streams;
     crash_directory& crashes;
+    server_notices& notices;
 };
 
 /// Processes one request: chooses a backend server, sends the request, retries it where attempt_record
@@ -56,7 +57,7 @@
         , m_replacement({ context, services.forwarder, request, plan, m_record, m_tracker, m_result,
               m_triedServers, m_triedPeers, m_requestNumber })
         , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_replacement, m_result,
-              m_streams })
+              m_streams, services.notices })
     {
     }
 
@@ -435,12 +436,16 @@
         m_context.rejections.recordSent(server, now());
         m_context.metrics.countViewAge(m_result.viewAge);
         m_result.serverDataCentre = entry->dataCentre;
-        const decisions::version_key version = decisions::versionKey(entry->softwareVersion);
+        const exchange_target target { { server, entry->startedAtMs },
+            decisions::versionKey(entry->softwareVersion) };
+        if (m_context.rests.askedUntil(target.process, now()))
+            m_context.metrics.countRequestInRest(m_plan.service);
+        m_context.rests.sent(target.process, now());
         const copy_source source = copySource(m_context, m_plan, *entry, now());
         std::string head = Wire::encodeRequest(m_request, makeRequest(*entry, source));
         m_tracker.begin(*entry, unreadTokens(source), m_result.placement, now());
         connection->startWrite(std::move(head), m_request.body, m_request.method == "HEAD");
-        const attempt_outcome outcome = co_await m_relay.exchange(server, version, connection);
+        const attempt_outcome outcome = co_await m_relay.exchange(target, connection);
         m_replacement.attemptEnded();
         m_tracker.end(outcome, m_result.status, now());
         m_scope->setConnection(nullptr);
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -8,6 +8,7 @@
 #include "forwardhop.h"
 #include "replacementsearch.h"
 #include "responsewriter.h"
+#include "servernotices.h"
 #include "stopscope.h"
 #include "streamdirectory.h"
 #include "wireprotocol.h"
@@ -16,6 +17,12 @@
 
 namespace gateway {
 
+/// The server to which an attempt was sent.
+struct exchange_target {
+    decisions::server_process process;
+    decisions::version_key version = 0; ///< of its software
+};
+
 /// Reads the backend servers' responses to one request and forwards them to the caller: short responses as a
 /// whole, streams event by event, and responses that are too large to buffer as they arrive. Not thread safe.
 template <wire_protocol Wire> class response_relay {
@@ -32,6 +39,7 @@
         replacement_search& replacement;
         flow_result& result;
         stream_directory& streams;
+        server_notices& notices;
     };
 
     explicit response_relay(const dependencies& dependencies)
@@ -45,16 +53,16 @@
         , m_replacement(dependencies.replacement)
         , m_result(dependencies.result)
         , m_streams(dependencies.streams)
+        , m_notices(dependencies.notices)
         , m_scanner(dependencies.request.lastEventId)
     {
     }
 
-    /// Reads the response to the request that was just sent to a server of that software version and forwards
-    /// it.
-    boost::asio::awaitable<attempt_outcome> exchange(
-        utils::server_id server, decisions::version_key version, http_connection_ptr connection)
+    /// Reads the response to the request that was just sent to that server and forwards it.
+    boost::asio::awaitable<attempt_outcome> exchange(exchange_target target, http_connection_ptr connection)
     {
-        m_attemptVersion = version;
+        const utils::time_point sentAt = now();
+        m_attemptVersion = target.version;
         m_isFromPeer = false;
         m_peerFailure.reset();
         m_scanner.restart();
@@ -65,6 +73,9 @@
             if (error)
                 co_return outcomeOf(error);
             response = Wire::decodeResponse(connection->head());
+            m_notices.heard(
+                { m_request.requestId, m_plan.service, target.process, sentAt, m_record.isRetry() }, response,
+                now());
             (void)takeVersion(response);
             // A duplicate response to an earlier request may come first.
             if (response.requestId.empty() || response.requestId == m_request.requestId)
@@ -77,6 +88,7 @@
         }
         m_tracker.dataReceived(now());
         connection->idleLimit = response.idleLimit;
+        const utils::server_id& server = target.process.id;
         if (response.load)
             m_context.loads.recordReport(server, response.load->running, response.load->waiting, now());
         m_context.rejections.recordAnswer(m_plan.service, response.rejectionsPerSecond, now());
@@ -405,6 +417,7 @@
     replacement_search& m_replacement;
     flow_result& m_result;
     stream_directory& m_streams;
+    server_notices& m_notices;
     event_scanner m_scanner;
     std::optional<server_response> m_streamHead; ///< from the attempt that brought the first events
     bound_version m_attemptVersion; ///< of the server whose response is read; nothing: a peer did not tell
--- /dev/null
+++ b/src/libs/gateway/servernotices.cpp
@@ -0,0 +1,44 @@
+#include "servernotices.h"
+
+#include "utils/eventlog.h"
+
+namespace gateway {
+
+namespace {
+
+std::string millisecondsText(utils::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
+void server_notices::heard(const heard_answer& answer, const server_response& response, utils::time_point now)
+{
+    if (response.isRestUnreadable)
+        utils::logEvent(utils::event::ServerNoticeUnreadable,
+            { { "request", answer.requestId }, { "server", answer.server.id.str() },
+                { "service", answer.service }, { "header", "Retry-After" } });
+    if (response.restFor)
+        heardRest(answer, *response.restFor, now);
+    if (response.isLeaving)
+        utils::logEvent(utils::event::ServerLeaves,
+            { { "request", answer.requestId }, { "server", answer.server.id.str() },
+                { "service", answer.service },
+                { "started_at_ms", std::to_string(answer.server.startedAtMs) } });
+}
+
+void server_notices::heardRest(const heard_answer& answer, utils::duration rest, utils::time_point now)
+{
+    const auto until = m_context.rests.askedUntil(answer.server, now);
+    const utils::duration left = until ? *until - now : utils::duration::zero();
+    m_context.metrics.countRest(answer.service);
+    utils::logEvent(utils::event::ServerAsksForRest,
+        { { "request", answer.requestId }, { "server", answer.server.id.str() },
+            { "service", answer.service }, { "started_at_ms", std::to_string(answer.server.startedAtMs) },
+            { "rest_ms", millisecondsText(rest) }, { "rest_left_ms", millisecondsText(left) },
+            { "retry", answer.isRetry ? "yes" : "no" } });
+    m_context.rests.asked(answer.server, rest, now);
+}
+
+} // namespace gateway
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -64,6 +64,12 @@
         "This node connects to the backend servers of a service again" },
     event_info { event::PartCleared, Info, "part_cleared",
         "An answer began with parts of a prompt that were suspect of crashing servers" },
+    event_info { event::ServerAsksForRest, Info, "server_asks_for_rest",
+        "A backend server has turned a request away and wants no more for a while" },
+    event_info {
+        event::ServerLeaves, Info, "server_leaves", "A backend server says in an answer that it leaves" },
+    event_info { event::ServerNoticeUnreadable, Warning, "server_notice_unreadable",
+        "What a backend server says of itself in an answer cannot be read" },
     event_info { event::PlatformFailure, Warning, "platform_failure", "A call to the platform failed" },
     event_info { event::StoreLost, Warning, "store_lost", "The platform's store does not answer" },
     event_info { event::StoreRegained, Info, "store_regained", "The platform's store answers again" },
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace std::chrono_literals;
 using platform::request_codec;
 static_assert(gateway::wire_protocol<request_codec>);
@@ -84,6 +86,44 @@
     BOOST_TEST(!request_codec::decodeResponse({}).rejectionsPerSecond.has_value());
 }
 
+// Guards against a server's wish for rest that is misread: as another time, or as one that was never asked
+// for.
+BOOST_AUTO_TEST_CASE(the_rest_that_a_server_asks_for_is_read)
+{
+    const auto responseWith = [](int status, const std::string& retryAfter) {
+        request_codec::answer_head head;
+        head.result(status);
+        head.insert("Retry-After", retryAfter);
+        return request_codec::decodeResponse(head);
+    };
+    const std::map<std::string, utils::duration> readable { { "3", 3s }, { "2.5", 2500ms }, { "0.3", 300ms },
+        { "0", 0s }, { "7200", 2h } };
+    for (const auto& [text, rest] : readable) {
+        const auto response = responseWith(503, text);
+        BOOST_TEST((response.restFor == rest), text);
+        BOOST_TEST(!response.isRestUnreadable, text);
+    }
+    for (const std::string text : { "", "soon", "-1", "3s", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        const auto response = responseWith(503, text);
+        BOOST_TEST(!response.restFor.has_value(), text);
+        BOOST_TEST(response.isRestUnreadable, text);
+    }
+    BOOST_TEST((responseWith(503, "1e300").restFor.value() > 1h));
+    BOOST_TEST(!responseWith(500, "3").restFor.has_value());
+    BOOST_TEST(!request_codec::decodeResponse({}).isRestUnreadable);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_servers_are_recognized_and_the_mark_is_not_passed_on)
+{
+    request_codec::answer_head head;
+    head.result(200);
+    BOOST_TEST(!request_codec::decodeResponse(head).isLeaving);
+    head.insert("Server-Leaving", "1");
+    const auto response = request_codec::decodeResponse(head);
+    BOOST_TEST(response.isLeaving);
+    BOOST_TEST(response.forwardedHeaders.empty());
+}
+
 // Guards against a peer that plans a forwarded request otherwise than the node that its caller has asked.
 BOOST_AUTO_TEST_CASE(forwarded_requests_are_decoded_as_the_caller_sent_them)
 {
