--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -95,7 +95,7 @@
         { "address", "127.0.0.1:" + std::to_string(routed(replica.port())) },
         { "zone", described.dataCentre }, { "resourceVersion", described.softwareVersion },
         { "slots", described.slots }, { "state", described.state }, { "coldRemainingMs", described.coldMs },
-        { "sequence", 1 }, { "born", 1700000000000 } };
+        { "sequence", 1 }, { "born", described.startedAtMs } };
     m_store.put("servers/" + replica.id(), json::serialize(entry));
 }
 
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -32,6 +32,7 @@
     unsigned coldMs = 0;
     std::string softwareVersion = "v1";
     unsigned slots = 8;
+    std::uint64_t startedAtMs = 1'700'000'000'000;
 };
 
 /// What a configuration says besides its version.
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -23,6 +23,7 @@
 // From the arrival of a request that crashes the replica to the crash.
 constexpr auto crashDelay = std::chrono::milliseconds(20);
 constexpr auto downTime = std::chrono::milliseconds(1500);
+constexpr auto pieceInterval = std::chrono::milliseconds(50); // of an answer without end
 constexpr auto portPause = std::chrono::milliseconds(50);
 
 replica_request decode(const http_request& request)
@@ -92,6 +93,18 @@
     m_rejectionLimit = perSecond;
 }
 
+void replica_standin::askForRest(std::string retryAfter)
+{
+    const std::lock_guard lock(m_mutex);
+    m_retryAfter = std::move(retryAfter);
+}
+
+void replica_standin::announceLeaving(bool isLeaving)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isLeaving = isLeaving;
+}
+
 void replica_standin::setEventType(std::string type)
 {
     const std::lock_guard lock(m_mutex);
@@ -213,12 +226,14 @@
 
 std::string replica_standin::head(int status, const std::string& requestId, const std::string& more) const
 {
-    std::optional<unsigned> limit;
+    std::string announced;
     {
         const std::lock_guard lock(m_mutex);
-        limit = m_rejectionLimit;
+        if (m_rejectionLimit)
+            announced += "Server-Brittle: " + std::to_string(*m_rejectionLimit) + "\r\n";
+        if (m_isLeaving)
+            announced += "Server-Leaving: 1\r\n";
     }
-    const std::string announced = limit ? "Server-Brittle: " + std::to_string(*limit) + "\r\n" : "";
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nLycheefront-Attempt-Id: " + requestId + "\r\n"
         + announced + more;
 }
@@ -231,7 +246,7 @@
         const std::lock_guard lock(m_mutex);
         act = m_act;
         decoded.act = act;
-        decoded.isRun = act != replica_act::Shed;
+        decoded.isRun = act != replica_act::Shed && act != replica_act::ShedEndless;
         m_requests.push_back(decoded);
     }
     co_await whileStalled();
@@ -252,8 +267,16 @@
         bytes = head(500, decoded.id, mark) + sized("failed at " + m_id);
         break;
     case replica_act::Shed:
-        bytes = head(503, decoded.id, "Lycheefront-Not-Executed: 1\r\n") + sized("");
+        bytes = head(503, decoded.id, shedHeaders()) + sized("");
         break;
+    case replica_act::ShedEndless:
+        bytes = head(503, decoded.id, shedHeaders()) + "Transfer-Encoding: chunked\r\n\r\n";
+        co_return co_await sendPieces(socket, std::move(bytes), chunk("x"));
+    case replica_act::HeadEndless:
+        co_return co_await sendPieces(socket, head(200, decoded.id, mark), "X-More: x\r\n");
+    case replica_act::ForeignEndless:
+        bytes = head(200, "somebody-elses", mark) + "Transfer-Encoding: chunked\r\n\r\n";
+        co_return co_await sendPieces(socket, std::move(bytes), chunk("x"));
     case replica_act::ShedUnmarked:
         bytes = head(503, decoded.id, mark) + sized("");
         break;
@@ -370,6 +393,24 @@
     co_return false;
 }
 
+boost::asio::awaitable<bool> replica_standin::sendPieces(
+    tcp_socket& socket, std::string first, std::string piece)
+{
+    std::string bytes = std::move(first);
+    while (co_await standins_common::sendBytes(socket, std::move(bytes))) {
+        co_await standins_common::pauseFor(pieceInterval);
+        bytes = piece;
+    }
+    co_return false;
+}
+
+std::string replica_standin::shedHeaders() const
+{
+    const std::lock_guard lock(m_mutex);
+    return "Lycheefront-Not-Executed: 1\r\n"
+        + (m_retryAfter.empty() ? "" : "Retry-After: " + m_retryAfter + "\r\n");
+}
+
 boost::asio::awaitable<bool> replica_standin::sendLarge(tcp_socket& socket, const replica_request& request)
 {
     std::chrono::milliseconds pause {};
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -35,6 +35,9 @@
     StreamUnframedCut, ///< the same, but it ends in the middle of event `cutAt`
     HeadOnly, ///< 200 without length or chunks, and the connection ends before the body
     Endless, ///< 200 whose body never ends
+    ShedEndless, ///< says that it has not run it, in an answer whose body never ends, piece by piece
+    HeadEndless, ///< runs it; the head of its answer never ends, line by line
+    ForeignEndless, ///< runs it; an answer to another request comes first, whose body never ends
     Large, ///< 200 with `largeSize` bytes; its first half comes at once, the rest after the event interval
 };
 
@@ -70,6 +73,11 @@
     /// Says in all answers that it fails if it has to reject more requests in a second; nothing: says
     /// nothing.
     void announceRejectionLimit(std::optional<unsigned> perSecond);
+    /// Says in each answer with which it turns a request away that it wants none for that time; empty: says
+    /// nothing.
+    void askForRest(std::string retryAfter);
+    /// Says in all answers that it leaves.
+    void announceLeaving(bool isLeaving);
     /// A text that each event names beside its piece, as its type: the software version that wrote it.
     void setEventType(std::string type);
     /// Events of a stream, and the one in which StreamCut breaks off.
@@ -106,6 +114,11 @@
         standins_common::tcp_socket& socket, const replica_request& request, bool isCut);
     boost::asio::awaitable<bool> sendForever(
         standins_common::tcp_socket& socket, const replica_request& request);
+    /// Sends these bytes, and then the piece again and again until the other side closes.
+    static boost::asio::awaitable<bool> sendPieces(
+        standins_common::tcp_socket& socket, std::string first, std::string piece);
+    /// The headers of an answer with which it turns a request away.
+    std::string shedHeaders() const;
     boost::asio::awaitable<bool> sendLarge(
         standins_common::tcp_socket& socket, const replica_request& request);
     boost::asio::awaitable<bool> hang(standins_common::tcp_socket& socket);
@@ -132,6 +145,8 @@
     std::chrono::milliseconds m_eventInterval { 2 };
     bool m_isStalled = false;
     std::optional<unsigned> m_rejectionLimit;
+    std::string m_retryAfter;
+    bool m_isLeaving = false;
     unsigned m_abandoned = 0;
     std::set<std::string> m_crashingParts;
     crash_answer m_crashAnswer = crash_answer::None;
