Servers that ask for rest get no requests until it is over

Callers saw refusals (queue_full) and detours while two thirds of the servers had room: each request went first to the server that holds its part, was turned away, and paid a retry. Cause: Retry-After of a server reached no decision. decisions::server_rests keeps what was asked, by process of a server; chooseServer and maySendTo, the last look before bytes go out, ask it, and with them retries, replacements, copies and path probes. A peer is not asked where only resting servers are left. Peers hear of a rest at once and prefer other servers meanwhile; after it a node sends one request at a time until one is taken. While all rest, requests are refused at once with the time that is left; a stream that has begun waits for the first rest to end. A connection that is not opened, rather than any attempt that sent nothing, now counts towards going by way of a peer.

--- a/src/libs/decisions/serverrests.cpp
+++ b/src/libs/decisions/serverrests.cpp
@@ -139,7 +139,7 @@
         return true;
     if (state->toldUntil > now)
         return !isTrying(server.id, *state, now);
-    const bool isTried = state->sentAt > state->askedUntil && now - state->sentAt < trialTimeout;
+    const bool isTried = state->sentAt >= state->askedUntil && now - state->sentAt < trialTimeout;
     return state->isRecovering && isTried;
 }
 
--- a/src/libs/gateway/crashmessages.cpp
+++ b/src/libs/gateway/crashmessages.cpp
@@ -6,7 +6,7 @@
 
 bool isCrashMessage(std::string_view bytes)
 {
-    return detail::datagramMarker(bytes) == crash_message::firstByte;
+    return detail::isMessage<crash_message>(bytes);
 }
 
 std::string encodeCrashMessage(const crash_message& message)
@@ -16,7 +16,7 @@
 
 std::optional<crash_message> decodeCrashMessage(std::string_view bytes)
 {
-    return isCrashMessage(bytes) ? detail::decodeMessage<crash_message>(bytes) : std::nullopt;
+    return detail::decodeMarked<crash_message>(bytes);
 }
 
 } // namespace gateway
--- a/src/libs/gateway/datagramcodec.h
+++ b/src/libs/gateway/datagramcodec.h
@@ -43,4 +43,16 @@
     return bytes.size() > 1 ? static_cast<unsigned char>(bytes[1]) : 0;
 }
 
+/// Whether the datagram is a `Message`, by its marker. Thread safe.
+template <class Message> bool isMessage(std::string_view bytes)
+{
+    return datagramMarker(bytes) == Message::firstByte;
+}
+
+/// The decoded datagram; nothing if it is of another type, or not valid. Thread safe.
+template <class Message> std::optional<Message> decodeMarked(std::string_view bytes)
+{
+    return isMessage<Message>(bytes) ? decodeMessage<Message>(bytes) : std::nullopt;
+}
+
 } // namespace gateway::detail
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -48,7 +48,7 @@
         , m_prober(m_context)
         , m_streams(m_context, m_peers)
         , m_crashes(m_context, m_peers)
-        , m_notices(m_context)
+        , m_notices(m_context, m_peers)
         , m_versionKeeper(m_context, m_peers, version_record { m_context.versions })
         , m_partKeeper(m_context, m_peers, part_record { m_context.crashingParts })
         , m_acceptor(executor)
@@ -68,6 +68,7 @@
         };
         m_streams.start(send);
         m_crashes.start(send);
+        m_notices.start(send);
         m_readiness->listen(m_context.options.readinessAddress);
         m_link->listen(m_context.options.peerAddress);
         if (m_context.options.metricsPort != 0)
@@ -116,6 +117,7 @@
         events.onHeartbeat = [this](const peer_heartbeat& heartbeat) { applyHeartbeat(heartbeat); };
         events.onStreamMessage = [this](const stream_message& message) { m_streams.onMessage(message); };
         events.onCrashMessage = [this](const crash_message& message) { m_crashes.onMessage(message); };
+        events.onRestMessage = [this](const rest_message& message) { m_notices.onMessage(message, now()); };
         events.makeCopy = [this](const view_request& request) { return m_viewUpdater.copy(request, now()); };
         return events;
     }
@@ -277,6 +279,7 @@
         m_partKeeper.tick(m_viewUpdater.followsStore(), present);
         m_streams.tick(present);
         m_crashes.tick(present);
+        m_notices.tick(present);
         sendHeartbeats();
         advanceStop(present);
     }
@@ -289,7 +292,6 @@
         }
         m_context.coldStarts.expire(present);
         m_context.rejections.expire(present);
-        m_context.rests.expire(present);
     }
 
     void advanceStop(utils::time_point present)
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -131,6 +131,11 @@
         || coldStarts.isSuspect(server, traits->length, present);
 }
 
+bool node_context::isResting(const catalogue::backend_server& server, utils::time_point present)
+{
+    return rests.askedUntil(processOf(server), present).has_value();
+}
+
 void node_context::learnPlacement(const decisions::placement_update& note)
 {
     const catalogue::backend_server* server = servers.find(utils::server_id(note.server));
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -38,6 +38,12 @@
 
 namespace gateway {
 
+/// The process of a backend server that its entry names.
+inline decisions::server_process processOf(const catalogue::backend_server& server)
+{
+    return { server.id, server.startedAtMs };
+}
+
 /// A crash of a backend server that this node has seen.
 struct seen_crash {
     std::uint64_t startedAtMs = 0; ///< of the server
@@ -99,6 +105,8 @@
     /// Whether a backend server is cold, or may be. Always false where `traits` is empty.
     bool isCold(const utils::server_id& server, const std::optional<catalogue::cold_start_traits>& traits,
         utils::time_point present) const;
+    /// Whether a backend server wants no requests from this node for now.
+    bool isResting(const catalogue::backend_server& server, utils::time_point present);
     /// Records where another node has placed a prompt.
     void learnPlacement(const decisions::placement_update& note);
     /// Whether the view of the backend servers is too old to send requests: peers have had newer revisions
--- a/src/libs/gateway/pathprober.cpp
+++ b/src/libs/gateway/pathprober.cpp
@@ -18,8 +18,10 @@
         if (!m_context.reachability.needsProbes(name))
             continue;
         std::vector<utils::server_id> servers;
-        for (const catalogue::backend_server* server : m_context.servers.usable(name))
-            servers.push_back(server->id);
+        for (const catalogue::backend_server* server : m_context.servers.usable(name)) {
+            if (!m_context.isResting(*server, now))
+                servers.push_back(server->id);
+        }
         for (const utils::server_id& server : m_context.reachability.nextProbes(name, servers, now))
             wire::startTask(m_context.executor, "probe_path", probe(server));
     }
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "copystream.h"
+#include "datagramcodec.h"
 
 #include "utils/eventlog.h"
 
@@ -104,6 +105,11 @@
                 m_events.onCrashMessage(*message);
             continue;
         }
+        if (detail::isMessage<rest_message>(datagram)) {
+            if (const auto message = detail::decodeMessage<rest_message>(datagram))
+                m_events.onRestMessage(*message);
+            continue;
+        }
         const auto heartbeat = decodeHeartbeat(datagram);
         if (heartbeat)
             m_events.onHeartbeat(*heartbeat);
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -2,6 +2,7 @@
 
 #include "crashmessages.h"
 #include "peermessages.h"
+#include "restmessage.h"
 #include "streammessages.h"
 
 #include "decisions/copygate.h"
@@ -39,11 +40,12 @@
     std::function<void(const peer_heartbeat&)> onHeartbeat;
     std::function<void(const stream_message&)> onStreamMessage;
     std::function<void(const crash_message&)> onCrashMessage;
+    std::function<void(const rest_message&)> onRestMessage;
     std::function<view_copy(const view_request&)> makeCopy;
 };
 
-/// Carries messages between nodes: heartbeats and messages about streams and crashes as datagrams, copies of
-/// the view of the store over TCP.
+/// Carries messages between nodes: heartbeats and messages about streams, crashes and rests as datagrams,
+/// copies of the view of the store over TCP.
 ///
 /// A copy is sent in chunks, each of which waits for the acknowledgement of the previous one. At most one
 /// chunk of each copy is queued at a link, where it delays everything else that the node sends. Either side
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -173,8 +173,8 @@
     /// service; nothing if the attempt goes to a server.
     std::optional<forward_target> choosePeer() const
     {
-        const bool isOutOfReach
-            = m_context.reachability.isCutOff(m_plan.service) || m_record.unsent() >= unsentBeforeForward;
+        const bool isOutOfReach = m_context.reachability.isCutOff(m_plan.service)
+            || m_failedConnects >= failedConnectsBeforeForward;
         return isOutOfReach ? nextPeer() : std::nullopt;
     }
 
@@ -267,9 +267,11 @@
             co_return true;
         }
         if (!placement) {
-            // Which nodes may send to a cold server differs from server to server.
+            // Which nodes may send to a cold server differs from server to server. A server that wants
+            // nothing from this node gets nothing by way of a peer either.
+            const auto servers = m_context.servers.usable(m_plan.service);
             const bool mayAskPeer = m_plan.coldStart && m_triedPeers.empty()
-                && !m_context.servers.usable(m_plan.service).empty();
+                && std::ranges::any_of(servers, [&](const auto* server) { return !isResting(server->id); });
             const std::optional<forward_target> peer = mayAskPeer ? nextPeer() : std::nullopt;
             if (peer)
                 co_return co_await tryPeer(*peer, nullptr);
@@ -303,10 +305,11 @@
         m_triedServers.insert(placement.server);
         const utils::time_point startedAt = now();
         m_result.lastOutcome = co_await tryServer(placement.server, std::move(connection));
+        m_failedConnects += m_connectError.empty() ? 0 : 1;
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
-        if (m_result.lastOutcome == attempt_outcome::NotSent)
-            m_unreachedServers.push_back(placement.server);
+        if (m_result.lastOutcome == attempt_outcome::NotSent || isResting(placement.server))
+            m_returningServers.push_back(placement.server);
         recordSent();
         m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
         m_record.add(m_result.lastOutcome);
@@ -332,6 +335,12 @@
             m_result.lastSent = m_result.lastOutcome;
     }
 
+    bool isResting(const utils::server_id& server) const
+    {
+        const catalogue::backend_server* entry = m_context.servers.find(server);
+        return entry != nullptr && m_context.isResting(*entry, now());
+    }
+
     std::string versionOf(const utils::server_id& server) const
     {
         const catalogue::backend_server* entry = m_context.servers.find(server);
@@ -346,25 +355,32 @@
             && m_roomWait.spent() < std::min(maxWaitForRoom, m_plan.route->targetLatency / 2);
     }
 
-    /// Whether to wait until a server that is out of reach comes back, or until this node knows that it has
-    /// lost its path and peers have not. A request that has provably not run is refused at once instead: its
-    /// caller may send it again.
+    /// Whether to wait until a server that is out of reach or rests takes requests again, or until this node
+    /// knows that it has lost its path and peers have not. A request that has provably not run is refused at
+    /// once instead: its caller may send it again.
     bool mayWaitForServer() const
     {
-        const utils::duration limit = m_writer.hasBegun()
-            ? maxWaitForServer
-            : std::min(maxWaitForServer, m_plan.route->targetLatency / 2);
-        if (m_record.hasProvablyNotRun() || m_relay.hasFallback() || m_serverWait.spent() >= limit)
+        if (m_record.hasProvablyNotRun() || m_relay.hasFallback()
+            || m_serverWait.spent() >= serverWaitLimit())
             return false;
         return std::ranges::any_of(m_context.servers.usable(m_plan.service),
             [&](const catalogue::backend_server* server) { return mayTakeLater(*server); });
     }
 
-    /// Whether the server may take the request once it can be reached.
+    utils::duration serverWaitLimit() const
+    {
+        if (!m_writer.hasBegun())
+            return std::min(maxWaitForServer, m_plan.route->targetLatency / 2);
+        // Nothing else can bring the rest of a stream.
+        const auto restEnd = earliestRestEnd(m_context, m_plan, m_result.streamVersion, now());
+        return restEnd && *restEnd < m_plan.deadline ? utils::duration::max() : maxWaitForServer;
+    }
+
+    /// Whether the server may take the request once it can be reached, or has rested.
     bool mayTakeLater(const catalogue::backend_server& server) const
     {
         const bool isTried = m_triedServers.contains(server.id)
-            && std::ranges::find(m_unreachedServers, server.id) == m_unreachedServers.end();
+            && std::ranges::find(m_returningServers, server.id) == m_returningServers.end();
         const bool isOfVersion = !m_result.streamVersion
             || decisions::versionKey(server.softwareVersion) == *m_result.streamVersion;
         return !isTried && isOfVersion && isAllowedIn(m_plan, m_context.options, server.dataCentre);
@@ -373,7 +389,7 @@
     boost::asio::awaitable<void> waitForServer()
     {
         co_await m_serverWait.wait();
-        for (const utils::server_id& server : std::exchange(m_unreachedServers, {}))
+        for (const utils::server_id& server : std::exchange(m_returningServers, {}))
             m_triedServers.erase(server);
     }
 
@@ -554,7 +570,9 @@
             co_return;
         }
         utils::error_kind kind = m_record.finalErrorKind();
-        if (kind == utils::error_kind::NoServer && m_context.rejections.isLimited(m_plan.service, now()))
+        const auto restEnd = earliestRestEnd(m_context, m_plan, m_result.streamVersion, now());
+        if (kind == utils::error_kind::NoServer
+            && (restEnd || m_context.rejections.isLimited(m_plan.service, now())))
             kind = utils::error_kind::QueueFull;
         if (m_result.isViewTooOld && m_record.hasProvablyNotRun())
             kind = utils::error_kind::NodeNotCurrent;
@@ -577,7 +595,10 @@
         if (m_result.refused)
             failure.retryAfter = m_result.refused->refusal.retryAfter;
         else if (utils::answerFor(kind).hasRetryAfter)
-            failure.retryAfter = retryAfterFor(kind, m_requestNumber);
+            failure.retryAfter = retryAfterFor(kind, m_requestNumber)
+                + (restEnd ? *restEnd - now() : utils::duration::zero());
+        if (restEnd && kind == utils::error_kind::QueueFull)
+            failure.detail = "all backend servers have asked for rest";
         m_result.failure = failure;
         co_await m_writer.writeFailure(failure);
     }
@@ -591,7 +612,7 @@
     static constexpr utils::duration waitStep = std::chrono::milliseconds(20);
     static constexpr utils::duration serverWaitStep = std::chrono::milliseconds(50);
     // Attempts that could not connect before the next one goes to a peer.
-    static constexpr unsigned unsentBeforeForward = 2;
+    static constexpr unsigned failedConnectsBeforeForward = 2;
 
     node_context& m_context;
     peer_forwarder& m_forwarder;
@@ -605,7 +626,8 @@
     std::uint64_t m_requestNumber;
     attempt_tracker m_tracker;
     std::set<utils::server_id> m_triedServers;
-    std::vector<utils::server_id> m_unreachedServers; ///< among the tried ones: nothing was sent there
+    std::vector<utils::server_id> m_returningServers; ///< of the tried ones: they may take it later
+    unsigned m_failedConnects = 0; ///< attempts that could not connect to their server
     std::set<std::string> m_triedPeers;
     utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
     stepped_wait m_roomWait { m_context.executor, decisions::rejection_limiter::window / 2 };
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -115,6 +115,22 @@
     return candidate.weight > 0;
 }
 
+/// Leaves out the usable candidates that are to be avoided for the moment, if there are others.
+void preferOthers(
+    node_context& context, std::vector<decisions::server_candidate>& candidates, utils::time_point now)
+{
+    const auto isPreferred = [&](const decisions::server_candidate& candidate) {
+        return isWeighted(candidate)
+            && !context.rests.isAvoided({ candidate.id, candidate.startedAtMs }, now);
+    };
+    if (std::ranges::none_of(candidates, isPreferred))
+        return;
+    for (decisions::server_candidate& candidate : candidates) {
+        if (!isPreferred(candidate))
+            candidate.weight = 0;
+    }
+}
+
 /// Leaves one of the usable candidates, by rendezvous hashing of the part.
 void keepFirstRanked(std::vector<decisions::server_candidate>& candidates, std::uint64_t part)
 {
@@ -245,7 +261,7 @@
         return context.rejections.maySend(plan.service, server.id, requests, server.slots, now);
     };
     return (context.servers.isUsable(server.id) || (version && mayTakeWhileDraining(context, server, now)))
-        && isAllowedIn(plan, context.options, server.dataCentre)
+        && isAllowedIn(plan, context.options, server.dataCentre) && !context.isResting(server, now)
         && (!context.rejections.isLimited(plan.service, now) || hasRoom())
         && (!context.isCold(server.id, plan.coldStart, now)
             || context.coldStarts.maySend(server.id, plan.coldStart->requestsPerSecond, now));
@@ -264,6 +280,7 @@
             : 0;
         candidates.push_back(candidateOf(*server, plan, weight, context.failures.countAt(server->id, now)));
     }
+    preferOthers(context, candidates, now);
     if (constraints.suspectPart)
         keepFirstRanked(candidates, *constraints.suspectPart);
     // No other server may go on with the stream, so one that is avoided otherwise is better than none.
@@ -291,6 +308,21 @@
     return context.choice.choose(candidates, query, context.loads, now);
 }
 
+std::optional<utils::time_point> earliestRestEnd(
+    node_context& context, const request_plan& plan, const bound_version& version, utils::time_point now)
+{
+    std::optional<utils::time_point> earliest;
+    for (const catalogue::backend_server* server : serversFor(context, plan, version, now)) {
+        if (!isAllowedIn(plan, context.options, server->dataCentre))
+            continue;
+        const auto until = context.rests.askedUntil(processOf(*server), now);
+        if (!until)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(*until), *until);
+    }
+    return earliest;
+}
+
 bool isVersionServed(const node_context& context, const request_plan& plan, decisions::version_key version)
 {
     const auto isServing
@@ -324,7 +356,7 @@
     return overload_refusal { *refusal, query, shedder.limitFor(query.urgency, query.target) };
 }
 
-copy_source copySource(const node_context& context, const request_plan& plan,
+copy_source copySource(node_context& context, const request_plan& plan,
     const catalogue::backend_server& chosen, utils::time_point now)
 {
     if (!plan.copiesPrompts || plan.parts.empty())
@@ -335,7 +367,7 @@
         // What servers of different versions hold does not fit together.
         if (server->softwareVersion == chosen.softwareVersion
             && !context.isSilent(plan.service, server->id, now)
-            && !context.health.isInBackoff(server->id, now)
+            && !context.health.isInBackoff(server->id, now) && !context.isResting(*server, now)
             && isAllowedIn(plan, context.options, server->dataCentre))
             holders.push_back(candidateOf(*server, plan, 1));
     }
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -51,8 +51,8 @@
 using bound_version = std::optional<decisions::version_key>;
 
 /// Whether the request may be sent to this server now: the server is usable, of the version that the request
-/// is bound to, in an allowed region and, if it is cold, this node may send to it. To be asked again right
-/// before bytes go out.
+/// is bound to, in an allowed region, does not rest and, if it is cold, this node may send to it. To be asked
+/// again right before bytes go out.
 bool maySendTo(node_context& context, const request_plan& plan, const catalogue::backend_server& server,
     const bound_version& version, utils::time_point now);
 
@@ -69,6 +69,11 @@
 std::optional<decisions::placement> chooseServer(node_context& context, const request_plan& plan,
     const choice_constraints& constraints, utils::time_point now);
 
+/// Returns when the first server may get requests of this node again, where all those that may take the
+/// request want none for now; nothing if one of them does not rest, or if there is none.
+std::optional<utils::time_point> earliestRestEnd(
+    node_context& context, const request_plan& plan, const bound_version& version, utils::time_point now);
+
 /// Whether a server of that version has an entry and does not drain.
 bool isVersionServed(const node_context& context, const request_plan& plan, decisions::version_key version);
 
@@ -92,7 +97,7 @@
 
 /// Returns the engine from which `chosen` should copy the part of the prompt that it does not have in its KV
 /// cache. Precondition: `chosen` is in the directory.
-copy_source copySource(const node_context& context, const request_plan& plan,
+copy_source copySource(node_context& context, const request_plan& plan,
     const catalogue::backend_server& chosen, utils::time_point now);
 
 /// Returns how long an attempt may receive no data before it is retried on another server, while its server
--- a/src/libs/gateway/servernotices.cpp
+++ b/src/libs/gateway/servernotices.cpp
@@ -1,11 +1,15 @@
 #include "servernotices.h"
 
+#include "datagramcodec.h"
+
 #include "utils/eventlog.h"
 
 namespace gateway {
 
 namespace {
 
+constexpr int overloadedStatus = 503;
+
 std::string millisecondsText(utils::duration time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -21,6 +25,9 @@
                 { "service", answer.service }, { "header", "Retry-After" } });
     if (response.restFor)
         heardRest(answer, *response.restFor, now);
+    else if (!response.isNotExecuted && response.status != overloadedStatus)
+        m_context.rests.taken(answer.server, answer.sentAt, now);
+    sendUpdates();
     if (response.isLeaving)
         utils::logEvent(utils::event::ServerLeaves,
             { { "request", answer.requestId }, { "server", answer.server.id.str() },
@@ -41,4 +48,28 @@
     m_context.rests.asked(answer.server, rest, now);
 }
 
+void server_notices::onMessage(const rest_message& message, utils::time_point now)
+{
+    // Of other servers nothing has to be known.
+    if (m_context.servers.find(utils::server_id(message.update.server)) != nullptr)
+        m_context.rests.told(message.update, now);
+}
+
+void server_notices::tick(utils::time_point now)
+{
+    m_context.rests.setNodes(m_peers.knownNodes());
+    m_context.rests.expire(now);
+}
+
+void server_notices::sendUpdates()
+{
+    for (decisions::rest_update& update : m_context.rests.takeUpdates()) {
+        if (update.server.size() > rest_message::maxServerLength)
+            continue;
+        const std::string datagram = detail::encodeMessage(rest_message { std::move(update) });
+        for (const std::string& address : m_peers.knownAddresses())
+            m_send(address, datagram);
+    }
+}
+
 } // namespace gateway
--- a/src/libs/gateway/servernotices.h
+++ b/src/libs/gateway/servernotices.h
@@ -2,7 +2,10 @@
 
 #include "messages.h"
 #include "nodecontext.h"
+#include "peertable.h"
+#include "restmessage.h"
 
+#include <functional>
 #include <string>
 
 namespace gateway {
@@ -17,22 +20,37 @@
 };
 
 /// Hears what backend servers say of themselves in the heads of their answers, whichever request these belong
-/// to. Not thread safe.
+/// to, and tells peers which servers have asked for rest. Not thread safe.
 class server_notices {
 public:
-    /// Precondition: the context outlives this object.
-    explicit server_notices(node_context& context)
+    using send_function = std::function<void(const std::string& address, const std::string& datagram)>;
+
+    /// Precondition: both arguments outlive this object.
+    server_notices(node_context& context, const peer_table& peers)
         : m_context(context)
+        , m_peers(peers)
     {
     }
 
+    /// Sets how datagrams are sent. To be called before anything else.
+    void start(send_function send) { m_send = std::move(send); }
+
     /// Takes the head of an answer.
     void heard(const heard_answer& answer, const server_response& response, utils::time_point now);
+    /// Handles a peer's datagram.
+    void onMessage(const rest_message& message, utils::time_point now);
+    /// To be called at each heartbeat of this node.
+    void tick(utils::time_point now);
 
 private:
     void heardRest(const heard_answer& answer, utils::duration rest, utils::time_point now);
 
+    /// All nodes hear of a rest at once: each would be turned away otherwise.
+    void sendUpdates();
+
     node_context& m_context;
+    const peer_table& m_peers;
+    send_function m_send;
 };
 
 } // namespace gateway
--- a/src/libs/gateway/streammessages.cpp
+++ b/src/libs/gateway/streammessages.cpp
@@ -6,7 +6,7 @@
 
 bool isStreamMessage(std::string_view bytes)
 {
-    return detail::datagramMarker(bytes) == stream_message::firstByte;
+    return detail::isMessage<stream_message>(bytes);
 }
 
 std::string encodeStreamMessage(const stream_message& message)
@@ -16,7 +16,7 @@
 
 std::optional<stream_message> decodeStreamMessage(std::string_view bytes)
 {
-    return isStreamMessage(bytes) ? detail::decodeMessage<stream_message>(bytes) : std::nullopt;
+    return detail::decodeMarked<stream_message>(bytes);
 }
 
 } // namespace gateway
