Servers that say in an answer that they leave get no more requests

Callers were sent to a server that had said so until the store told it, seconds later or never. Cause: nothing read Server-Leaving. server_directory keeps which process has said it, also while its entry is gone; no entry of that process undoes it, a process born later owes nothing. As draining by the entry: within a quarter of the drain time streams bound to its version may still go there where no other server has it.

New, not run on the code before: leaving_server_is_known_from_a_peers_answer, two cases of tst_catalogue.

--- a/src/libs/catalogue/serverdirectory.cpp
+++ b/src/libs/catalogue/serverdirectory.cpp
@@ -32,7 +32,7 @@
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
-    if (isAuthoritative || !isSettling(now) || found->second.server.isDraining) {
+    if (isAuthoritative || !isSettling(now) || isDraining(id)) {
         m_entries.erase(found);
         return;
     }
@@ -82,8 +82,38 @@
     found->second.hasIdentityMismatch = true;
 }
 
+bool server_directory::markLeaving(
+    const utils::server_id& id, std::uint64_t startedAtMs, utils::time_point now)
+{
+    const auto [known, isNew] = m_leaving.try_emplace(id);
+    leaving_process& process = known->second;
+    process.heardAt = now;
+    if (!isNew && process.startedAtMs == startedAtMs)
+        return false;
+    process.startedAtMs = startedAtMs;
+    process.since = now;
+    return true;
+}
+
+const server_directory::leaving_process* server_directory::leavingProcess(const entry_state& state) const
+{
+    const auto found = m_leaving.find(state.server.id);
+    const bool isOfEntry = found != m_leaving.end() && found->second.startedAtMs == state.server.startedAtMs;
+    return isOfEntry ? &found->second : nullptr;
+}
+
+bool server_directory::isDraining(const utils::server_id& id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end()
+        && (found->second.server.isDraining || leavingProcess(found->second) != nullptr);
+}
+
 std::size_t server_directory::expire(utils::time_point now)
 {
+    std::erase_if(m_leaving, [&](const auto& entry) {
+        return !m_entries.contains(entry.first) && now - entry.second.heardAt > leavingLifetime;
+    });
     return std::erase_if(m_entries,
         [now](const auto& entry) { return entry.second.expiresAt && *entry.second.expiresAt <= now; });
 }
@@ -96,7 +126,8 @@
 
 bool server_directory::isUsable(const entry_state& state) const
 {
-    return !state.server.isDraining && !state.hasIdentityMismatch && !isEvacuated(state.server.dataCentre);
+    return !state.server.isDraining && !state.hasIdentityMismatch && !isEvacuated(state.server.dataCentre)
+        && leavingProcess(state) == nullptr;
 }
 
 void server_directory::setEvacuated(const std::string& dataCentre, bool isEvacuated, utils::time_point now)
@@ -156,9 +187,16 @@
     const utils::server_id& id, utils::time_point now) const
 {
     const auto found = m_entries.find(id);
-    if (found == m_entries.end() || !found->second.drainingSince || found->second.expiresAt)
+    if (found == m_entries.end() || found->second.expiresAt)
+        return std::nullopt;
+    const entry_state& state = found->second;
+    const leaving_process* leaving = leavingProcess(state);
+    if (leaving == nullptr)
+        return state.drainingSince ? std::optional(now - *state.drainingSince) : std::nullopt;
+    // A server that drained before this node knew it has done so for longer.
+    if (state.server.isDraining && !state.drainingSince)
         return std::nullopt;
-    return now - *found->second.drainingSince;
+    return now - std::min(state.drainingSince.value_or(leaving->since), leaving->since);
 }
 
 std::vector<utils::server_id> server_directory::lapsed() const
--- a/src/libs/catalogue/serverdirectory.h
+++ b/src/libs/catalogue/serverdirectory.h
@@ -51,11 +51,17 @@
     /// Marks a server at whose address another one has answered that it is not this server. It gets no
     /// requests until its entry shows a restart or another address.
     void markIdentityMismatch(const utils::server_id& id);
+    /// Marks a process of a server that has said that it leaves. It gets no new requests, whatever its entry
+    /// says, and whether that goes and comes back, until the entry shows a restart. Returns whether this is
+    /// news.
+    bool markLeaving(const utils::server_id& id, std::uint64_t startedAtMs, utils::time_point now);
     /// Removes lapsed entries that were not renewed in time; returns their number.
     std::size_t expire(utils::time_point now);
 
     /// Whether the server may get new requests; check it right before sending.
     bool isUsable(const utils::server_id& id) const;
+    /// Whether the server drains by its entry, or has said that it leaves. False if it is unknown.
+    bool isDraining(const utils::server_id& id) const;
     /// Whether the servers of the data centre get no new requests by order of the operators.
     bool isEvacuated(const std::string& dataCentre) const { return m_evacuated.contains(dataCentre); }
     /// Returns the data centres that are evacuated, ordered by name.
@@ -72,8 +78,8 @@
     std::vector<const backend_server*> present(const std::string& service) const;
     /// Returns the software versions of all entries by service, including draining and lapsed ones.
     std::map<std::string, std::set<std::string>> softwareVersions() const;
-    /// Time since this node learned that the server drains; nothing if it does not, or did so before this
-    /// node knew it.
+    /// Time since this node learned that the server drains or leaves; nothing if it does not, or did so
+    /// before this node knew it.
     std::optional<utils::duration> drainingFor(const utils::server_id& id, utils::time_point now) const;
     /// Number of entries, including draining and lapsed ones.
     std::size_t size() const { return m_entries.size(); }
@@ -84,7 +90,10 @@
 
 private:
     struct entry_state;
+    struct leaving_process;
     bool isUsable(const entry_state& state) const;
+    /// What the process of the entry has said; null if it has not said that it leaves.
+    const leaving_process* leavingProcess(const entry_state& state) const;
 
     struct entry_state {
         backend_server server;
@@ -94,10 +103,20 @@
         std::optional<utils::time_point> expiresAt; ///< set once the entry is missing: when it is removed
     };
 
+    struct leaving_process {
+        std::uint64_t startedAtMs = 0;
+        utils::time_point since {};
+        utils::time_point heardAt {}; ///< last time that it said so
+    };
+
+    /// A process that leaves has ended by then. Its entry may come and go meanwhile.
+    static constexpr utils::duration leavingLifetime = std::chrono::minutes(10);
+
     utils::duration m_settleTime;
     std::map<utils::server_id, entry_state> m_entries;
     bool m_isStoreReachable = true;
     utils::time_point m_settledAt {};
+    std::map<utils::server_id, leaving_process> m_leaving;
     std::set<std::string> m_evacuated;
     std::map<std::string, utils::time_point> m_evacuationEndedAt; ///< by data centre
 };
--- a/src/libs/gateway/forwardhop.cpp
+++ b/src/libs/gateway/forwardhop.cpp
@@ -49,6 +49,19 @@
     return text;
 }
 
+std::string encodeProcess(const decisions::server_process& process)
+{
+    return hex(process.startedAtMs) + separator + process.id.str();
+}
+
+std::optional<decisions::server_process> decodeProcess(std::string_view text)
+{
+    const auto startedAtMs = takeNumber<std::uint64_t>(text);
+    if (!startedAtMs || text.empty())
+        return std::nullopt;
+    return decisions::server_process { utils::server_id(std::string(text)), *startedAtMs };
+}
+
 std::string encodeVersion(std::uint64_t version)
 {
     return hex(version);
--- a/src/libs/gateway/forwardhop.h
+++ b/src/libs/gateway/forwardhop.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decisions/serverrests.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +36,15 @@
 /// this name from a server is dropped.
 inline constexpr std::string_view streamVersionHeader = "Forward-Stream-Version";
 
+/// Name of a header line by which a peer tells that the server whose answer it forwards leaves. A line of
+/// this name from a server is dropped.
+inline constexpr std::string_view serverLeavingHeader = "Forward-Server-Leaving";
+
+/// A process of a server as text in the header line, and the inverse; nothing if the text is not valid.
+/// Thread safe.
+std::string encodeProcess(const decisions::server_process& process);
+std::optional<decisions::server_process> decodeProcess(std::string_view text);
+
 /// A software version as text in the header line, and the inverse; nothing if the text is not valid. Thread
 /// safe.
 std::string encodeVersion(std::uint64_t version);
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -325,8 +325,9 @@
 
 bool isVersionServed(const node_context& context, const request_plan& plan, decisions::version_key version)
 {
-    const auto isServing
-        = [&](const auto* server) { return !server->isDraining && isOfVersion(*server, version); };
+    const auto isServing = [&](const auto* server) {
+        return !context.servers.isDraining(server->id) && isOfVersion(*server, version);
+    };
     return std::ranges::any_of(context.servers.present(plan.service), isServing)
         || std::ranges::any_of(context.servers.usable(plan.service), isServing);
 }
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -77,6 +77,10 @@
                 { m_request.requestId, m_plan.service, target.process, sentAt, m_record.isRetry() }, response,
                 now());
             (void)takeVersion(response);
+            (void)takeLine(response, serverLeavingHeader);
+            if (m_request.hop && response.isLeaving)
+                response.forwardedHeaders.push_back(
+                    { std::string(serverLeavingHeader), encodeProcess(target.process) });
             // A duplicate response to an earlier request may come first.
             if (response.requestId.empty() || response.requestId == m_request.requestId)
                 break;
@@ -120,6 +124,10 @@
             co_return outcomeOf(error);
         server_response response = Wire::decodeResponse(connection->head());
         m_attemptVersion = takeVersion(response);
+        const auto leaving = takeLine(response, serverLeavingHeader);
+        if (const auto process = leaving ? decodeProcess(*leaving) : std::nullopt)
+            m_notices.heardLeaving(
+                { m_request.requestId, m_plan.service, *process }, m_result.forwardedTo, now());
         const bool isOwn = response.requestId.empty() || response.requestId == m_request.requestId;
         const bool isServers = response.isSigned && !response.isEncoded;
         if (!isOwn || (response.status < firstErrorStatus && !isServers))
@@ -316,14 +324,21 @@
     /// there is none.
     static bound_version takeVersion(server_response& response)
     {
-        bound_version version;
+        const auto line = takeLine(response, streamVersionHeader);
+        return line ? decodeVersion(*line) : std::nullopt;
+    }
+
+    /// Removes the lines of that name, and returns the value of the last one; nothing if there is none.
+    static std::optional<std::string> takeLine(server_response& response, std::string_view name)
+    {
+        std::optional<std::string> value;
         std::erase_if(response.forwardedHeaders, [&](const header_line& line) {
-            const bool isVersion = boost::beast::iequals(line.name, streamVersionHeader);
-            if (isVersion)
-                version = decodeVersion(line.value);
-            return isVersion;
+            const bool isNamed = boost::beast::iequals(line.name, name);
+            if (isNamed)
+                value = line.value;
+            return isNamed;
         });
-        return version;
+        return value;
     }
 
     void setStreamHead(server_response response)
--- a/src/libs/gateway/servernotices.cpp
+++ b/src/libs/gateway/servernotices.cpp
@@ -29,10 +29,7 @@
         m_context.rests.taken(answer.server, answer.sentAt, now);
     sendUpdates();
     if (response.isLeaving)
-        utils::logEvent(utils::event::ServerLeaves,
-            { { "request", answer.requestId }, { "server", answer.server.id.str() },
-                { "service", answer.service },
-                { "started_at_ms", std::to_string(answer.server.startedAtMs) } });
+        heardLeaving(answer, {}, now);
 }
 
 void server_notices::heardRest(const heard_answer& answer, utils::duration rest, utils::time_point now)
@@ -48,6 +45,18 @@
     m_context.rests.asked(answer.server, rest, now);
 }
 
+void server_notices::heardLeaving(const heard_answer& answer, const std::string& peer, utils::time_point now)
+{
+    const decisions::server_process& server = answer.server;
+    if (!m_context.servers.markLeaving(server.id, server.startedAtMs, now))
+        return;
+    std::vector<utils::log_field> fields { { "request", answer.requestId }, { "server", server.id.str() },
+        { "service", answer.service }, { "started_at_ms", std::to_string(server.startedAtMs) } };
+    if (!peer.empty())
+        fields.push_back({ "peer", peer });
+    utils::logEvent(utils::event::ServerLeaves, fields);
+}
+
 void server_notices::onMessage(const rest_message& message, utils::time_point now)
 {
     // Of other servers nothing has to be known.
--- a/src/libs/gateway/servernotices.h
+++ b/src/libs/gateway/servernotices.h
@@ -37,6 +37,8 @@
 
     /// Takes the head of an answer.
     void heard(const heard_answer& answer, const server_response& response, utils::time_point now);
+    /// A server has said that it leaves, in an answer that came by way of that peer; empty: by itself.
+    void heardLeaving(const heard_answer& answer, const std::string& peer, utils::time_point now);
     /// Handles a peer's datagram.
     void onMessage(const rest_message& message, utils::time_point now);
     /// To be called at each heartbeat of this node.
--- a/tests/auto/catalogue/tst_serverdirectory.cpp
+++ b/tests/auto/catalogue/tst_serverdirectory.cpp
@@ -88,6 +88,44 @@
     BOOST_TEST(directory.isUsable(a));
 }
 
+// Guards against an entry that undoes what its server has said later, and against a server that leaves for
+// good because the one before it under its id did.
+BOOST_FIXTURE_TEST_CASE(leaving_lasts_until_restart, directory_fixture)
+{
+    BOOST_TEST(directory.markLeaving(a, 1, at(0s)));
+    BOOST_TEST(!directory.markLeaving(a, 1, at(1s)));
+    BOOST_TEST(!directory.isUsable(a));
+    BOOST_TEST(directory.isDraining(a));
+    BOOST_TEST((directory.drainingFor(a, at(1s)) == 1s));
+    directory.put(a, serverOf("a", 2), at(1s));
+    BOOST_TEST(!directory.isUsable(a));
+    directory.remove(a, at(2s));
+    directory.expire(at(3s));
+    directory.put(a, serverOf("a", 3), at(4s));
+    BOOST_TEST(!directory.isUsable(a));
+    BOOST_TEST((directory.drainingFor(a, at(4s)) == 4s));
+    directory.put(a, serverOf("a", 4, 77), at(5s));
+    BOOST_TEST(directory.isUsable(a));
+    BOOST_TEST(!directory.drainingFor(a, at(5s)).has_value());
+}
+
+// The entry may say it first, or the server.
+BOOST_FIXTURE_TEST_CASE(draining_counts_from_the_earlier_news, directory_fixture)
+{
+    auto draining = serverOf("a", 2);
+    draining.isDraining = true;
+    directory.markLeaving(a, 1, at(0s));
+    directory.put(a, draining, at(2s));
+    BOOST_TEST((directory.drainingFor(a, at(3s)) == 3s));
+    const server_id b("b");
+    auto other = serverOf("b", 3);
+    directory.put(b, other, at(0s));
+    other.isDraining = true;
+    directory.put(b, other, at(1s));
+    directory.markLeaving(b, 1, at(2s));
+    BOOST_TEST((directory.drainingFor(b, at(3s)) == 2s));
+}
+
 BOOST_FIXTURE_TEST_CASE(unreadable_entry_removes_server, directory_fixture)
 {
     directory.put(a, std::nullopt, at(1s));
--- a/tests/auto/gateway/tst_cutoffnodes.cpp
+++ b/tests/auto/gateway/tst_cutoffnodes.cpp
@@ -277,6 +277,26 @@
     BOOST_TEST(pressRequests() == before + 1);
 }
 
+// Guards against requests of a node to a server that has said that it leaves in an answer by way of a peer.
+BOOST_FIXTURE_TEST_CASE(leaving_server_is_known_from_a_peers_answer, cut_testbed)
+{
+    cutOff();
+    press(0).announceLeaving(true);
+    // Each peer hears of it by its first answer of that server, and passes that answer on.
+    const auto isHeard
+        = [&] { return node(0).process->log().find("\"name\":\"server_leaves\"") != std::string::npos; };
+    BOOST_REQUIRE(waitUntil([&] {
+        isServed(question("GET", "/look/1"));
+        return isHeard();
+    }));
+    setPaths(link_state::Open);
+    BOOST_REQUIRE(
+        waitUntil([&] { return node(0).process->log().find("service_reached") != std::string::npos; }));
+    const std::size_t before = press(0).requestCount();
+    BOOST_TEST(failedRounds() == 0u);
+    BOOST_TEST(press(0).requestCount() == before);
+}
+
 // Guards against work that goes on for a caller who has left the forwarding node.
 BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_ends_its_forwarded_request, cut_testbed)
 {
--- a/tests/auto/gateway/tst_forwardhop.cpp
+++ b/tests/auto/gateway/tst_forwardhop.cpp
@@ -54,4 +54,17 @@
         BOOST_TEST(!decodeHop(text).has_value(), text);
 }
 
+BOOST_AUTO_TEST_CASE(processes_round_trip)
+{
+    for (const std::string id : { "i-7f3a91c2", "a-b-c", "-" }) {
+        const auto read
+            = gateway::decodeProcess(gateway::encodeProcess({ utils::server_id(id), 1'700'000'000'123 }));
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(read->id.str() == id);
+        BOOST_TEST(read->startedAtMs == 1'700'000'000'123u);
+    }
+    for (const std::string text : { "", "12", "12-", "-a", "zz-a" })
+        BOOST_TEST(!gateway::decodeProcess(text).has_value(), text);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
