Bytes without end in an answer hold no request

Callers waited until their deadline of 20 s for the body of a 503 whose head said that the request had not run, for a head, and for an answer to another request that did not end. A rejection now ends its attempt with its head; what follows is read beside the request, at most 16 KB within 0.5 s, and the connection kept if it ends. A head has 3 s from its first byte and 16 interim responses, a skipped answer 1 MB and 5 s; beyond that they are no valid answer. The store's client takes at most 64 MB.

Three cases of tst_httpconnection are new.

--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -15,6 +15,7 @@
 
 // A response has stopped arriving when no byte came for this long.
 constexpr utils::duration stallTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t maxBodyBytes = 64 * 1024 * 1024; // far above what the store sends in an answer
 
 } // namespace
 
@@ -112,7 +113,7 @@
     response.status = static_cast<int>(connection->head().result_int());
     while (!connection->isDone()) {
         error = co_await connection->readBody(response.body);
-        if (error)
+        if (error || response.body.size() > maxBodyBytes)
             co_return std::nullopt;
     }
     error = co_await connection->readBody(response.body);
--- a/src/libs/gateway/httpconnection.cpp
+++ b/src/libs/gateway/httpconnection.cpp
@@ -24,6 +24,11 @@
 
 constexpr std::uint32_t maxHeadBytes = 64 * 1024; // bytes; far above what any backend server sends
 constexpr std::size_t readSize = 16384; // bytes of one read: a dozen events, or most short responses
+// A head arrives within a few packets, of which some may be lost.
+constexpr utils::duration maxHeadTime = std::chrono::seconds(3);
+constexpr unsigned maxInterimResponses = 16;
+// The answer that is waited for comes behind the skipped one, so there is more patience with that.
+constexpr discard_limits skipLimits { 1024 * 1024, std::chrono::seconds(5) };
 constexpr int continueStatus = 100;
 constexpr int firstFinalStatus = 200;
 
@@ -84,6 +89,8 @@
 asio::awaitable<http_connection::error_code> http_connection::readHead()
 {
     const auto self = shared_from_this();
+    std::optional<utils::time_point> beganAt;
+    unsigned interimResponses = 0;
     while (true) {
         const error_code fault = feed();
         if (fault)
@@ -92,12 +99,17 @@
             const auto status = static_cast<int>(m_parser->get().result_int());
             if (status >= firstFinalStatus || status < continueStatus)
                 co_return error_code();
+            if (++interimResponses > maxInterimResponses)
+                co_return http::make_error_code(http::error::header_limit);
             startResponse();
             continue;
         }
         const error_code error = co_await receive();
         if (error)
             co_return error;
+        if (now() - beganAt.value_or(now()) > maxHeadTime)
+            co_return http::make_error_code(http::error::header_limit);
+        beganAt = beganAt.value_or(now());
     }
 }
 
@@ -124,20 +136,33 @@
     co_return error_code();
 }
 
-asio::awaitable<http_connection::error_code> http_connection::skipResponse()
+asio::awaitable<http_connection::error_code> http_connection::discardBody(discard_limits limits)
 {
     const auto self = shared_from_this();
-    std::string skipped;
+    const utils::time_point beganAt = now();
+    std::size_t discarded = 0;
+    std::string bytes;
     while (!m_parser->is_done()) {
-        skipped.clear();
-        const error_code error = co_await readBody(skipped);
+        bytes.clear();
+        const error_code error = co_await readBody(bytes);
         if (error)
             co_return error;
+        discarded += bytes.size();
+        if (discarded > limits.bytes || now() - beganAt > limits.time)
+            co_return http::make_error_code(http::error::body_limit);
     }
-    startResponse();
     co_return error_code();
 }
 
+asio::awaitable<http_connection::error_code> http_connection::skipResponse()
+{
+    const auto self = shared_from_this();
+    const error_code error = co_await discardBody(skipLimits);
+    if (!error)
+        startResponse();
+    co_return error;
+}
+
 bool http_connection::isReusable() const
 {
     return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && !m_parser->need_eof()
--- a/src/libs/gateway/httpconnection.h
+++ b/src/libs/gateway/httpconnection.h
@@ -18,6 +18,12 @@
 /// `limit`: a broken connection must not hold up requests. Also sets TCP_NODELAY.
 void setTcpUserTimeout(boost::asio::ip::tcp::socket& socket, utils::duration limit);
 
+/// How much of a response that nobody needs is read.
+struct discard_limits {
+    std::size_t bytes = 0;
+    utils::duration time {};
+};
+
 /// A connection on which this node sends requests and another process responds, one request at a time.
 ///
 /// Reads and writes run concurrently: the other side may respond before it has read a long body, and
@@ -34,11 +40,16 @@
     boost::asio::awaitable<error_code> connect(boost::asio::ip::tcp::endpoint endpoint);
     /// Starts to send a request and returns at once.
     void startWrite(std::string head, std::shared_ptr<const std::string> body, bool isHeadMethod);
-    /// Reads the head of the next response, and skips interim (1xx) responses.
+    /// Reads the head of the next response, and skips interim (1xx) responses. Fails with header_limit where
+    /// these are too long, too many, or still incomplete long after their first byte.
     boost::asio::awaitable<error_code> readHead();
     /// Reads more of the body and appends it to `bytes`; may append nothing.
     boost::asio::awaitable<error_code> readBody(std::string& bytes);
-    /// Skips the response whose head was read, because it belongs to an earlier request.
+    /// Reads what is left of the response and drops it. Fails with body_limit where that does not end within
+    /// `limits`, which are looked at as bytes arrive.
+    boost::asio::awaitable<error_code> discardBody(discard_limits limits);
+    /// Skips the response whose head was read, because it belongs to an earlier request. Fails as
+    /// discardBody().
     boost::asio::awaitable<error_code> skipResponse();
 
     /// Precondition: readHead() succeeded.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -465,14 +465,31 @@
         m_replacement.attemptEnded();
         m_tracker.end(outcome, m_result.status, now());
         m_scope->setConnection(nullptr);
-        if (outcome == attempt_outcome::Answered || outcome == attempt_outcome::NotRun
-            || outcome == attempt_outcome::Failed)
+        if (outcome == attempt_outcome::NotRun)
+            wire::startTask(m_context.executor, "discard_body", reclaim(m_context, server, connection));
+        else if (outcome == attempt_outcome::Answered || outcome == attempt_outcome::Failed)
             m_context.pool.put(server, connection, now());
         else
             connection->abort();
         co_return outcome;
     }
 
+    /// Keeps a connection whose response was read up to the end of its head, if the rest follows soon. The
+    /// request does not wait for that.
+    static boost::asio::awaitable<void> reclaim(
+        node_context& context, utils::server_id server, http_connection_ptr connection)
+    {
+        const auto scope = std::make_shared<stop_scope>(context.executor);
+        scope->setDeadline(now() + reclaimLimits.time, now());
+        scope->setConnection(connection);
+        const error_code error = co_await connection->discardBody(reclaimLimits);
+        scope->finish();
+        if (error)
+            connection->abort();
+        else
+            context.pool.put(server, std::move(connection), now());
+    }
+
     bool isStillAdmitted()
     {
         return m_crashes.admit(m_plan, m_requestNumber, now()).admission == m_admission;
@@ -603,6 +620,8 @@
         co_await m_writer.writeFailure(failure);
     }
 
+    // A rejection has a short body, or none. A new connection costs less than a longer one.
+    static constexpr discard_limits reclaimLimits { 16384, std::chrono::milliseconds(500) };
     // Three windows of the draw leave few nodes without a server.
     static constexpr utils::duration maxWaitForRoom = 3 * decisions::rejection_limiter::window;
     // A node earns some retries a second; longer waits find no server that is better than now.
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -101,8 +101,6 @@
                 m_context.servers.markIdentityMismatch(server);
             else
                 m_context.rejections.recordRejected(server, now());
-            std::string unused;
-            co_await readBuffered(*connection, unused);
             co_return attempt_outcome::NotRun;
         }
         if (response.status >= 200 && response.status < 300 && (!response.isSigned || response.isEncoded))
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -5,8 +5,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -48,6 +51,24 @@
         io.poll();
     }
 
+    /// Sends a request and these bytes as the beginning of its response; returns how reading its head ends.
+    boost::system::error_code readHead(const std::string& bytes)
+    {
+        connection->startWrite("GET / HTTP/1.1\r\n\r\n", nullptr, false);
+        asio::write(server, asio::buffer(bytes));
+        return await(connection->readHead());
+    }
+    boost::system::error_code await(asio::awaitable<boost::system::error_code> reading)
+    {
+        std::optional<boost::system::error_code> result;
+        asio::co_spawn(
+            io, [&]() -> asio::awaitable<void> { result = co_await std::move(reading); }, asio::detached);
+        io.restart();
+        while (!result)
+            io.run_one();
+        return *result;
+    }
+
     /// Returns the number of bytes that reach the server from now on.
     std::size_t arriving()
     {
@@ -68,6 +89,33 @@
     BOOST_TEST(arriving() > bodySize);
 }
 
+// Guards against a server that announces an answer again and again and never sends it.
+BOOST_FIXTURE_TEST_CASE(interim_responses_without_end_are_no_answer, full_connection)
+{
+    std::string bytes;
+    for (unsigned i = 0; i < 20; ++i)
+        bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+    BOOST_TEST((readHead(bytes + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        == boost::beast::http::error::header_limit));
+}
+
+BOOST_FIXTURE_TEST_CASE(connection_is_usable_after_a_discarded_body, full_connection)
+{
+    BOOST_REQUIRE(!readHead("HTTP/1.1 503 Full\r\nContent-Length: 5\r\n\r\n"));
+    BOOST_TEST(!connection->isReusable());
+    asio::write(server, asio::buffer(std::string("later")));
+    BOOST_TEST(!await(connection->discardBody({ 5, 1s })));
+    BOOST_TEST(connection->isReusable());
+}
+
+// Guards against a body that is read for as long as the server sends.
+BOOST_FIXTURE_TEST_CASE(discarding_ends_at_its_limit, full_connection)
+{
+    BOOST_REQUIRE(!readHead("HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n"));
+    asio::write(server, asio::buffer(std::string("5\r\nbytes\r\n")));
+    BOOST_TEST((await(connection->discardBody({ 9, 1s })) == boost::beast::http::error::body_limit));
+}
+
 // Guards against a request that reaches a server long after the node gave it up and told its caller so: its
 // bytes were queued in the kernel behind a saturated link.
 BOOST_FIXTURE_TEST_CASE(an_aborted_request_is_not_delivered, full_connection)
