Soak: servers that ask for rest, and servers that say that they leave

One, a third or all servers turn requests away and ask for 1, 2.5 or 4 s; a draining server says so in its answers too. From what servers and callers saw: at most two requests of a node within a rest, none 2.5 s after it has passed on the word of a leaving server. The check on resumed streams does not count servers at rest among those that serve. tst_soakcheck shows both checks on made evidence.

--- a/tests/soak/soakcheck.h
+++ b/tests/soak/soakcheck.h
@@ -88,6 +88,7 @@
     std::map<std::string, std::vector<time_point>> crashes; ///< of backend servers
     std::set<std::string> reportedCuts; ///< calls that the nodes' logs name as cut
     std::map<std::string, std::vector<span>> linkFaults; ///< of the link to that backend server
+    std::map<std::string, std::vector<span>> rests; ///< of each backend server, up to the end of the last one
     std::map<std::string, time_point> leftAt; ///< backend servers, when the store had it
     std::map<std::string, std::string> dataCentres; ///< of each backend server
     std::map<std::string, std::vector<span>> evacuated; ///< by data centre, as the store had it
@@ -108,6 +109,7 @@
         = std::chrono::milliseconds(2500); ///< the platform's 2 s and half a second for a busy machine
     duration evacuating
         = std::chrono::milliseconds(5500); ///< the platform's 5 s and half a second for a busy machine
+    duration resting = std::chrono::milliseconds(1000); ///< the platform's half a second, and as much for it
     duration inForce = std::chrono::milliseconds(2500); ///< likewise
 };
 
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -69,6 +69,20 @@
     void crashUnderPart(duration lasts);
     void stallServers(const planned_fault& fault);
     void stall(std::size_t server, duration lasts);
+    void restServers(const planned_fault& fault);
+    void rest(std::size_t server, const planned_fault& fault);
+    /// Does something to the servers that a fault hits, by their positions.
+    template <class Action> void forServersHit(const planned_fault& fault, const Action& action)
+    {
+        const server_share share = serversHit(fault, m_size.servers);
+        for (std::size_t i = 0; i < share.ofEach; ++i) {
+            const std::size_t place = (fault.target + i) % m_size.servers;
+            if (share.hasPress)
+                action(place);
+            if (share.hasEngines)
+                action(m_size.servers + place);
+        }
+    }
     void announce(std::size_t server, const std::string& state, duration coldFor = {});
     void until(duration lasts, std::function<void()> undo);
     void faultOnNode(std::size_t node, duration lasts);
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -349,4 +349,40 @@
     BOOST_TEST(soak::lastEvent("") == 0u);
 }
 
+// Guards against a soak that does not see requests to a server which has asked their node for rest.
+BOOST_AUTO_TEST_CASE(requests_within_a_rest_break_a_promise)
+{
+    soak_evidence evidence = soundEvidence();
+    const auto add = [&](const std::string& id, time_point at) {
+        evidence.calls.push_back(
+            { id, call_kind::Lookup, 0, false, at, at + 10ms, 503, true, false, id, "" });
+        evidence.arrivals.push_back(runAt("press-1", id, at, false));
+    };
+    add("asks", start + 10s);
+    evidence.arrivals.back().request.restAsked = "2.5";
+    for (const auto at : { 10100ms, 10900ms, 11100ms, 12400ms, 12600ms })
+        add("at" + std::to_string(at.count()), start + at);
+    BOOST_TEST(brokenCount(evidence) == 0u);
+    add("third", start + 12s);
+    BOOST_TEST(brokenCount(evidence) > 0u);
+    evidence.nodeFaults[0].push_back({ start + 9s, start + 13s });
+    BOOST_TEST(brokenCount(evidence) == 0u);
+}
+
+// Guards against a soak that does not see requests to a server after its own word that it leaves.
+BOOST_AUTO_TEST_CASE(requests_after_the_word_of_a_leaving_server_break_a_promise)
+{
+    soak_evidence evidence = soundEvidence();
+    evidence.arrivals.front().request.isLeavingSaid = true;
+    const auto add = [&](const std::string& id, time_point at) {
+        evidence.calls.push_back(
+            { id, call_kind::Payment, 0, false, at, at + 10ms, 200, true, true, id, "press-1" });
+        evidence.arrivals.push_back(runAt("press-1", id, at));
+    };
+    add("soon", start + 2s);
+    BOOST_TEST(brokenCount(evidence) == 0u);
+    add("late", start + 4s);
+    BOOST_TEST(brokenCount(evidence) > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -247,6 +247,8 @@
         act = m_act;
         decoded.act = act;
         decoded.isRun = act != replica_act::Shed && act != replica_act::ShedEndless;
+        decoded.restAsked = decoded.isRun ? "" : m_retryAfter;
+        decoded.isLeavingSaid = m_isLeaving;
         m_requests.push_back(decoded);
     }
     co_await whileStalled();
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -57,6 +57,8 @@
     std::map<std::string, std::string> headers; ///< by name in lower case
     bool isRun = true; ///< false: it said that it has not run it
     replica_act act = replica_act::Answer; ///< what the replica did with it
+    std::string restAsked; ///< the seconds for which it asked for rest; empty: it did not
+    bool isLeavingSaid = false; ///< its answer said that it leaves
     std::chrono::steady_clock::time_point arrivedAt {};
 };
 
