What a server says of itself is not taken from another server, nor from another request's success

An answer of 421 comes from the server that has the address now; a late answer to an earlier request does not show that this one was taken. While all servers rest a request does not wait for room at servers that announce how many rejections they bear.

--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -269,9 +269,7 @@
         if (!placement) {
             // Which nodes may send to a cold server differs from server to server. A server that wants
             // nothing from this node gets nothing by way of a peer either.
-            const auto servers = m_context.servers.usable(m_plan.service);
-            const bool mayAskPeer = m_plan.coldStart && m_triedPeers.empty()
-                && std::ranges::any_of(servers, [&](const auto* server) { return !isResting(server->id); });
+            const bool mayAskPeer = m_plan.coldStart && m_triedPeers.empty() && hasServerWithoutRest();
             const std::optional<forward_target> peer = mayAskPeer ? nextPeer() : std::nullopt;
             if (peer)
                 co_return co_await tryPeer(*peer, nullptr);
@@ -341,6 +339,13 @@
         return entry != nullptr && m_context.isResting(*entry, now());
     }
 
+    /// Whether a server of the service takes requests of this node.
+    bool hasServerWithoutRest() const
+    {
+        return std::ranges::any_of(m_context.servers.usable(m_plan.service),
+            [&](const auto* server) { return !m_context.isResting(*server, now()); });
+    }
+
     std::string versionOf(const utils::server_id& server) const
     {
         const catalogue::backend_server* entry = m_context.servers.find(server);
@@ -350,8 +355,7 @@
     /// Whether to wait until this node may send to a server that announces how many rejections it bears.
     bool mayWaitForRoom() const
     {
-        return m_context.rejections.isLimited(m_plan.service, now())
-            && !m_context.servers.usable(m_plan.service).empty()
+        return m_context.rejections.isLimited(m_plan.service, now()) && hasServerWithoutRest()
             && m_roomWait.spent() < std::min(maxWaitForRoom, m_plan.route->targetLatency / 2);
     }
 
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requestplan.cpp
@@ -386,11 +386,6 @@
     return plan.isEngine ? plan.urgency : decisions::urgencyLevels - 1;
 }
 
-bool mayRetryElsewhere(const request_plan& plan)
-{
-    return plan.route->mayRepeat() && plan.route->maxAttempts > 1;
-}
-
 utils::duration firstResponseTimeout(const request_plan& plan)
 {
     const bool isStream = plan.route->kind == catalogue::request_kind::Stream;
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requestplan.h
@@ -108,8 +108,6 @@
 /// Returns the urgency by which the server orders its queue. Plain services have no priorities: their
 /// requests all count as least urgent.
 int queueUrgency(const request_plan& plan);
-/// Whether a request that was sent and may have run may be sent to another server.
-bool mayRetryElsewhere(const request_plan& plan);
 
 /// Returns the time after which a refused caller should retry, with jitter by `salt`.
 utils::duration retryAfterFor(utils::error_kind kind, std::uint64_t salt);
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/responserelay.h
@@ -73,16 +73,17 @@
             if (error)
                 co_return outcomeOf(error);
             response = Wire::decodeResponse(connection->head());
+            // A duplicate response to an earlier request may come first.
+            const bool isOwn = response.requestId.empty() || response.requestId == m_request.requestId;
             m_notices.heard(
-                { m_request.requestId, m_plan.service, target.process, sentAt, m_record.isRetry() }, response,
-                now());
+                { m_request.requestId, m_plan.service, target.process, sentAt, m_record.isRetry(), isOwn },
+                response, now());
             (void)takeVersion(response);
             (void)takeLine(response, serverLeavingHeader);
             if (m_request.hop && response.isLeaving)
                 response.forwardedHeaders.push_back(
                     { std::string(serverLeavingHeader), encodeProcess(target.process) });
-            // A duplicate response to an earlier request may come first.
-            if (response.requestId.empty() || response.requestId == m_request.requestId)
+            if (isOwn)
                 break;
             if (skipped == maxSkippedResponses)
                 co_return attempt_outcome::Garbled;
--- a/src/libs/gateway/servernotices.cpp
+++ b/src/libs/gateway/servernotices.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int overloadedStatus = 503;
+constexpr int misdirectedStatus = 421;
 
 std::string millisecondsText(utils::duration time)
 {
@@ -19,13 +20,16 @@
 
 void server_notices::heard(const heard_answer& answer, const server_response& response, utils::time_point now)
 {
+    // Another server has this address by now.
+    if (response.status == misdirectedStatus)
+        return;
     if (response.isRestUnreadable)
         utils::logEvent(utils::event::ServerNoticeUnreadable,
             { { "request", answer.requestId }, { "server", answer.server.id.str() },
                 { "service", answer.service }, { "header", "Retry-After" } });
     if (response.restFor)
         heardRest(answer, *response.restFor, now);
-    else if (!response.isNotExecuted && response.status != overloadedStatus)
+    else if (answer.isOwn && !response.isNotExecuted && response.status != overloadedStatus)
         m_context.rests.taken(answer.server, answer.sentAt, now);
     sendUpdates();
     if (response.isLeaving)
--- a/src/libs/gateway/servernotices.h
+++ b/src/libs/gateway/servernotices.h
@@ -17,6 +17,7 @@
     decisions::server_process server;
     utils::time_point sentAt {};
     bool isRetry = false;
+    bool isOwn = true; ///< it answers that request, and no earlier one
 };
 
 /// Hears what backend servers say of themselves in the heads of their answers, whichever request these belong
--- a/tests/auto/gateway/tst_restingservers.cpp
+++ b/tests/auto/gateway/tst_restingservers.cpp
@@ -246,6 +246,33 @@
     }
 }
 
+// Guards against a stream that is begun at an engine after it has said in the head of another that it leaves.
+BOOST_AUTO_TEST_CASE(engine_that_says_in_a_stream_that_it_leaves_gets_no_more_streams)
+{
+    rest_testbed world(2, 1);
+    world.engine(0).announceLeaving(true);
+    unsigned part = 0;
+    BOOST_REQUIRE(waitUntil([&] {
+        world.ask(world.node(0), world.prompt(++part));
+        return world.engine(0).requestCount() > 0;
+    }));
+    for (unsigned i = 0; i < 20; ++i)
+        BOOST_TEST(world.ask(world.node(0), world.prompt(++part)).status == 200);
+    BOOST_TEST(world.engine(0).requestCount() == 1u);
+}
+
+// Guards against a wish for rest that is dropped because it stands in an answer to another request.
+BOOST_AUTO_TEST_CASE(rest_is_heard_in_an_answer_to_another_request)
+{
+    plain_testbed world;
+    world.press(0).askForRest("3600");
+    world.press(0).act(replica_act::ExtraShed);
+    BOOST_TEST(world.askFirst("GET", "/look/").status == 200);
+    const std::size_t before = world.press(0).requestCount();
+    world.askMany();
+    BOOST_TEST(world.press(0).requestCount() == before);
+}
+
 // Guards against a server that rests under the name of the one before it, which had asked for rest.
 BOOST_AUTO_TEST_CASE(restarted_server_owes_no_rest)
 {
--- a/tests/soak/soakcheck.cpp
+++ b/tests/soak/soakcheck.cpp
@@ -303,8 +303,8 @@
     void checkRest(const arrival& asking, std::size_t node, const std::vector<const arrival*>& arrivals)
     {
         const auto rest = duration(static_cast<int>(std::stod(asking.request.restAsked) * 1000));
-        const time_point from = asking.request.arrivedAt + m_bounds->resting;
-        const time_point to = asking.request.arrivedAt + rest;
+        const time_point from = asking.request.answeredAt + m_bounds->resting;
+        const time_point to = asking.request.answeredAt + rest;
         const auto inside = std::ranges::count_if(arrivals, [&](const arrival* each) {
             const time_point at = each->request.arrivedAt;
             return from < at && at < to && isInTouch(node, at);
--- a/tests/soak/tst_soakcheck.cpp
+++ b/tests/soak/tst_soakcheck.cpp
@@ -360,6 +360,7 @@
     };
     add("asks", start + 10s);
     evidence.arrivals.back().request.restAsked = "2.5";
+    evidence.arrivals.back().request.answeredAt = start + 10s;
     for (const auto at : { 10100ms, 10900ms, 11100ms, 12400ms, 12600ms })
         add("at" + std::to_string(at.count()), start + at);
     BOOST_TEST(brokenCount(evidence) == 0u);
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -242,14 +242,15 @@
 {
     replica_request decoded = decode(request);
     replica_act act = replica_act::Answer;
+    std::size_t index = 0;
     {
         const std::lock_guard lock(m_mutex);
         act = m_act;
         decoded.act = act;
         decoded.isRun = act != replica_act::Shed && act != replica_act::ShedEndless;
-        decoded.restAsked = decoded.isRun ? "" : m_retryAfter;
         decoded.isLeavingSaid = m_isLeaving;
         m_requests.push_back(decoded);
+        index = m_requests.size() - 1;
     }
     co_await whileStalled();
     const std::string mark = "Lycheefront-Response-Signature: " + m_id + ".1\r\n";
@@ -261,6 +262,8 @@
         restart();
         co_return false;
     }
+    if (!decoded.isRun)
+        recordRest(index);
     switch (act) {
     case replica_act::Answer:
         bytes = head(200, decoded.id, mark) + sized(m_id);
@@ -289,6 +292,10 @@
         bytes = head(200, "somebody-elses", mark) + sized("not yours");
         bytes += head(200, decoded.id, mark) + sized(m_id);
         break;
+    case replica_act::ExtraShed:
+        bytes = head(503, "somebody-elses", shedHeaders()) + sized("");
+        bytes += head(200, decoded.id, mark) + sized(m_id);
+        break;
     case replica_act::Unframed:
         bytes = head(200, decoded.id, mark) + "Connection: close\r\n\r\n" + m_id;
         break;
@@ -406,6 +413,13 @@
     co_return false;
 }
 
+void replica_standin::recordRest(std::size_t index)
+{
+    const std::lock_guard lock(m_mutex);
+    m_requests.at(index).restAsked = m_retryAfter;
+    m_requests.at(index).answeredAt = std::chrono::steady_clock::now();
+}
+
 std::string replica_standin::shedHeaders() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -30,6 +30,7 @@
     StreamCutOnce, ///< the same, but a stream that is resumed goes on to its end
     Unsigned, ///< 200 without the mark of a replica
     ExtraAnswer, ///< first the answer to another request, then its own
+    ExtraShed, ///< first an answer that turns another request away, then its own
     Unframed, ///< 200 whose body ends with the connection
     StreamUnframed, ///< a stream without length or chunks that ends with the connection
     StreamUnframedCut, ///< the same, but it ends in the middle of event `cutAt`
@@ -57,9 +58,10 @@
     std::map<std::string, std::string> headers; ///< by name in lower case
     bool isRun = true; ///< false: it said that it has not run it
     replica_act act = replica_act::Answer; ///< what the replica did with it
-    std::string restAsked; ///< the seconds for which it asked for rest; empty: it did not
+    std::string restAsked; ///< the seconds for which its answer asked for rest; empty: it did not
     bool isLeavingSaid = false; ///< its answer said that it leaves
     std::chrono::steady_clock::time_point arrivedAt {};
+    std::chrono::steady_clock::time_point answeredAt {}; ///< with `restAsked`
 };
 
 /// One replica: says what it got, and answers by a script. Thread safe.
@@ -119,6 +121,8 @@
     /// Sends these bytes, and then the piece again and again until the other side closes.
     static boost::asio::awaitable<bool> sendPieces(
         standins_common::tcp_socket& socket, std::string first, std::string piece);
+    /// Records that it turns that request away and asks for rest now.
+    void recordRest(std::size_t index);
     /// The headers of an answer with which it turns a request away.
     std::string shedHeaders() const;
     boost::asio::awaitable<bool> sendLarge(
