--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -9,9 +9,9 @@
 #include "peerforwarder.h"
 #include "requestlog.h"
 #include "requestplan.h"
+#include "requestwaits.h"
 #include "responserelay.h"
 #include "responsewriter.h"
-#include "steppedwait.h"
 #include "stopscope.h"
 #include "wireprotocol.h"
 
@@ -55,7 +55,7 @@
         , m_requestNumber(context.nextRequestNumber++)
         , m_tracker(context, plan, m_requestNumber)
         , m_replacement({ context, services.forwarder, request, plan, m_record, m_tracker, m_result,
-              m_triedServers, m_triedPeers, m_requestNumber })
+              m_waits.triedServers(), m_triedPeers, m_requestNumber })
         , m_relay({ context, request, plan, m_scope, writer, m_record, m_tracker, m_replacement, m_result,
               m_streams, services.notices })
     {
@@ -82,7 +82,7 @@
             if (secured && m_admission == crash_admission::Send)
                 mayGoOn = co_await trySecured(std::move(*secured));
             else if (mustWaitForRetry()) {
-                co_await m_retryWait.wait();
+                co_await m_waits.forRetry();
                 mayGoOn = true;
             } else if (const std::optional<forward_target> peer = choosePeer())
                 mayGoOn = co_await tryPeer(*peer, nullptr);
@@ -142,8 +142,8 @@
     /// that has begun waits as long as its caller does: nothing else can bring the rest of it.
     boost::asio::awaitable<bool> waitForVerdict()
     {
-        co_await m_verdictWait.wait();
-        co_return m_writer.hasBegun() || m_verdictWait.spent() < m_plan.route->targetLatency;
+        co_await m_waits.forVerdict();
+        co_return m_waits.mayWaitForVerdict(callerState());
     }
 
     /// Whether the next attempt is a retry for which the budget has nothing left yet. The requests that
@@ -151,9 +151,8 @@
     /// instead: its caller may send it again.
     bool mustWaitForRetry()
     {
-        const utils::duration limit = std::min(maxWaitForRetry, m_plan.route->targetLatency / 2);
         const bool mayWait = m_record.isRetry() && !m_record.hasProvablyNotRun() && !m_isRetryPaid
-            && m_retryWait.spent() < limit;
+            && m_waits.mayWaitForRetry();
         if (!mayWait) {
             m_replacement.attemptEnded();
             return false;
@@ -259,23 +258,24 @@
     /// Makes one attempt at a server. Returns whether another attempt may follow.
     boost::asio::awaitable<bool> tryNextServer()
     {
-        const choice_constraints constraints { m_triedServers, m_result.streamVersion,
+        const choice_constraints constraints { m_waits.triedServers(), m_result.streamVersion,
             m_requestNumber * 31 + m_record.attempts(), m_suspectPart };
         const auto placement = chooseServer(m_context, m_plan, constraints, now());
-        if (!placement && mayWaitForRoom()) {
-            co_await m_roomWait.wait();
+        if (!placement && m_waits.mayWaitForRoom()) {
+            co_await m_waits.forRoom();
             co_return true;
         }
         if (!placement) {
             // Which nodes may send to a cold server differs from server to server. A server that wants
             // nothing from this node gets nothing by way of a peer either.
-            const bool mayAskPeer = m_plan.coldStart && m_triedPeers.empty() && hasServerWithoutRest();
+            const bool mayAskPeer
+                = m_plan.coldStart && m_triedPeers.empty() && m_waits.hasServerWithoutRest();
             const std::optional<forward_target> peer = mayAskPeer ? nextPeer() : std::nullopt;
             if (peer)
                 co_return co_await tryPeer(*peer, nullptr);
-            if (!mayWaitForServer())
+            if (!m_waits.mayWaitForServer(callerState()))
                 co_return false;
-            co_await waitForServer();
+            co_await m_waits.forServer();
             co_return true;
         }
         co_return co_await tryPlacement(*placement, nullptr);
@@ -300,14 +300,14 @@
             m_result.refused = refuseOverload(m_context, m_request, m_plan, placement, now());
         if (m_result.refused)
             co_return false;
-        m_triedServers.insert(placement.server);
+        m_waits.tried(placement.server);
         const utils::time_point startedAt = now();
         m_result.lastOutcome = co_await tryServer(placement.server, std::move(connection));
         m_failedConnects += m_connectError.empty() ? 0 : 1;
         if (m_result.lastOutcome != attempt_outcome::Answered)
             logFailedAttempt(m_request, describeFailure(startedAt));
         if (m_result.lastOutcome == attempt_outcome::NotSent || isResting(placement.server))
-            m_returningServers.push_back(placement.server);
+            m_waits.mayReturn(placement.server);
         recordSent();
         m_context.metrics.countAttempt(m_plan.service, m_result.lastOutcome, m_record.isRetry());
         m_record.add(m_result.lastOutcome);
@@ -339,12 +339,7 @@
         return entry != nullptr && m_context.isResting(*entry, now());
     }
 
-    /// Whether a server of the service takes requests of this node.
-    bool hasServerWithoutRest() const
-    {
-        return std::ranges::any_of(m_context.servers.usable(m_plan.service),
-            [&](const auto* server) { return !m_context.isResting(*server, now()); });
-    }
+    request_waits::caller_state callerState() const { return { m_writer.hasBegun(), m_relay.hasFallback() }; }
 
     std::string versionOf(const utils::server_id& server) const
     {
@@ -352,51 +347,6 @@
         return entry == nullptr ? std::string() : entry->softwareVersion;
     }
 
-    /// Whether to wait until this node may send to a server that announces how many rejections it bears.
-    bool mayWaitForRoom() const
-    {
-        return m_context.rejections.isLimited(m_plan.service, now()) && hasServerWithoutRest()
-            && m_roomWait.spent() < std::min(maxWaitForRoom, m_plan.route->targetLatency / 2);
-    }
-
-    /// Whether to wait until a server that is out of reach or rests takes requests again, or until this node
-    /// knows that it has lost its path and peers have not. A request that has provably not run is refused at
-    /// once instead: its caller may send it again.
-    bool mayWaitForServer() const
-    {
-        if (m_record.hasProvablyNotRun() || m_relay.hasFallback()
-            || m_serverWait.spent() >= serverWaitLimit())
-            return false;
-        return std::ranges::any_of(m_context.servers.usable(m_plan.service),
-            [&](const catalogue::backend_server* server) { return mayTakeLater(*server); });
-    }
-
-    utils::duration serverWaitLimit() const
-    {
-        if (!m_writer.hasBegun())
-            return std::min(maxWaitForServer, m_plan.route->targetLatency / 2);
-        // Nothing else can bring the rest of a stream.
-        const auto restEnd = earliestRestEnd(m_context, m_plan, m_result.streamVersion, now());
-        return restEnd && *restEnd < m_plan.deadline ? utils::duration::max() : maxWaitForServer;
-    }
-
-    /// Whether the server may take the request once it can be reached, or has rested.
-    bool mayTakeLater(const catalogue::backend_server& server) const
-    {
-        const bool isTried = m_triedServers.contains(server.id)
-            && std::ranges::find(m_returningServers, server.id) == m_returningServers.end();
-        const bool isOfVersion = !m_result.streamVersion
-            || decisions::versionKey(server.softwareVersion) == *m_result.streamVersion;
-        return !isTried && isOfVersion && isAllowedIn(m_plan, m_context.options, server.dataCentre);
-    }
-
-    boost::asio::awaitable<void> waitForServer()
-    {
-        co_await m_serverWait.wait();
-        for (const utils::server_id& server : std::exchange(m_returningServers, {}))
-            m_triedServers.erase(server);
-    }
-
     void recordViewAge()
     {
         const utils::time_point present = now();
@@ -590,50 +540,14 @@
             (void)co_await m_relay.sendPeerRefusal();
             co_return;
         }
-        utils::error_kind kind = m_record.finalErrorKind();
-        const auto restEnd = earliestRestEnd(m_context, m_plan, m_result.streamVersion, now());
-        if (kind == utils::error_kind::NoServer
-            && (restEnd || m_context.rejections.isLimited(m_plan.service, now())))
-            kind = utils::error_kind::QueueFull;
-        if (m_result.isViewTooOld && m_record.hasProvablyNotRun())
-            kind = utils::error_kind::NodeNotCurrent;
-        if (m_result.stopReason == stop_reason::DeadlineExceeded) {
-            kind = m_record.hasProvablyNotRun() ? utils::error_kind::DeadlineUnreachable
-                                                : utils::error_kind::ServerTimeout;
-        }
-        if (m_result.refused)
-            kind = m_result.refused->refusal.kind;
-        else if (m_result.crashFinding && m_record.hasProvablyNotRun())
-            kind = utils::error_kind::RequestCrashesServers;
-        else if (m_admission == crash_admission::Wait && m_record.hasProvablyNotRun())
-            kind = utils::error_kind::QueueFull;
-        else if (m_result.origin.source == decisions::origin_source::Unknown)
-            kind = utils::error_kind::StreamOriginUnknown;
-        else if (kind == utils::error_kind::NoServer && m_result.streamVersion
-            && !isVersionServed(m_context, m_plan, *m_result.streamVersion))
-            kind = utils::error_kind::StreamVersionGone;
-        utils::failure failure = utils::makeFailure(kind);
-        if (m_result.refused)
-            failure.retryAfter = m_result.refused->refusal.retryAfter;
-        else if (utils::answerFor(kind).hasRetryAfter)
-            failure.retryAfter = retryAfterFor(kind, m_requestNumber)
-                + (restEnd ? *restEnd - now() : utils::duration::zero());
-        if (restEnd && kind == utils::error_kind::QueueFull)
-            failure.detail = "all backend servers have asked for rest";
+        const utils::failure failure = failureOf(
+            { m_context, m_plan, m_record, m_result }, m_admission == crash_admission::Wait, m_requestNumber);
         m_result.failure = failure;
         co_await m_writer.writeFailure(failure);
     }
 
     // A rejection has a short body, or none. A new connection costs less than a longer one.
     static constexpr discard_limits reclaimLimits { 16384, std::chrono::milliseconds(500) };
-    // Three windows of the draw leave few nodes without a server.
-    static constexpr utils::duration maxWaitForRoom = 3 * decisions::rejection_limiter::window;
-    // A node earns some retries a second; longer waits find no server that is better than now.
-    static constexpr utils::duration maxWaitForRetry = std::chrono::seconds(1);
-    // A node notices within a second that it has lost its path; a crashed server is back after some seconds.
-    static constexpr utils::duration maxWaitForServer = std::chrono::seconds(3);
-    static constexpr utils::duration waitStep = std::chrono::milliseconds(20);
-    static constexpr utils::duration serverWaitStep = std::chrono::milliseconds(50);
     // Attempts that could not connect before the next one goes to a peer.
     static constexpr unsigned failedConnectsBeforeForward = 2;
 
@@ -648,18 +562,13 @@
     attempt_record m_record;
     std::uint64_t m_requestNumber;
     attempt_tracker m_tracker;
-    std::set<utils::server_id> m_triedServers;
-    std::vector<utils::server_id> m_returningServers; ///< of the tried ones: they may take it later
     unsigned m_failedConnects = 0; ///< attempts that could not connect to their server
     std::set<std::string> m_triedPeers;
     utils::error_kind m_lastRefusal = utils::error_kind::NoServer; ///< of a peer
-    stepped_wait m_roomWait { m_context.executor, decisions::rejection_limiter::window / 2 };
-    stepped_wait m_retryWait { m_context.executor, waitStep };
-    stepped_wait m_serverWait { m_context.executor, serverWaitStep };
     crash_admission m_admission = crash_admission::Send;
     std::optional<std::uint64_t> m_suspectPart; ///< with SendAlone
-    stepped_wait m_verdictWait { m_context.executor, waitStep };
     flow_result m_result;
+    request_waits m_waits { { m_context, m_plan, m_record, m_result } };
     std::string m_connectError; ///< why the last connection was not opened; empty if it was
     bool m_isRetryPaid = false; ///< the next retry was taken from the budget already
     replacement_search m_replacement;
