Late answers of a process that has ended do not change what is known of the next one

Found when reading the change: a wish for rest, or the word that it leaves, of a server process whose successor is known already replaced what that one had said.

--- a/src/libs/catalogue/serverdirectory.cpp
+++ b/src/libs/catalogue/serverdirectory.cpp
@@ -87,6 +87,9 @@
 {
     const auto [known, isNew] = m_leaving.try_emplace(id);
     leaving_process& process = known->second;
+    // The answer of a process that has ended may arrive after the next one is known.
+    if (process.startedAtMs > startedAtMs)
+        return false;
     process.heardAt = now;
     if (!isNew && process.startedAtMs == startedAtMs)
         return false;
--- a/src/libs/decisions/serverrests.cpp
+++ b/src/libs/decisions/serverrests.cpp
@@ -38,6 +38,8 @@
     server_state& state = found->second;
     if (state.startedAtMs == server.startedAtMs)
         return &state;
+    if (state.startedAtMs > server.startedAtMs)
+        return nullptr;
     if (now - std::max(state.askedAt, state.toldAt) <= entryDelay) {
         state.startedAtMs = server.startedAtMs;
         return &state;
@@ -52,6 +54,9 @@
         return;
     const utils::duration rest = std::min(length, maxRest);
     server_state& state = m_servers[server.id];
+    // The answer of a process that has ended may arrive after the next one is known.
+    if (state.startedAtMs > server.startedAtMs)
+        return;
     if (state.startedAtMs != server.startedAtMs)
         state = { server.startedAtMs };
     state.askedAt = now;
--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -15,7 +15,7 @@
 
 // A response has stopped arriving when no byte came for this long.
 constexpr utils::duration stallTimeout = std::chrono::milliseconds(500);
-constexpr std::size_t maxBodyBytes = 64 * 1024 * 1024; // far above what the store sends in an answer
+constexpr std::size_t maxBodyBytes = 67'108'864; // far above what the store sends in an answer
 
 } // namespace
 
--- a/src/libs/gateway/httpconnection.cpp
+++ b/src/libs/gateway/httpconnection.cpp
@@ -28,7 +28,7 @@
 constexpr utils::duration maxHeadTime = std::chrono::seconds(3);
 constexpr unsigned maxInterimResponses = 16;
 // The answer that is waited for comes behind the skipped one, so there is more patience with that.
-constexpr discard_limits skipLimits { 1024 * 1024, std::chrono::seconds(5) };
+constexpr discard_limits skipLimits { 1'048'576, std::chrono::seconds(5) };
 constexpr int continueStatus = 100;
 constexpr int firstFinalStatus = 200;
 
--- a/tests/auto/catalogue/tst_serverdirectory.cpp
+++ b/tests/auto/catalogue/tst_serverdirectory.cpp
@@ -107,6 +107,10 @@
     directory.put(a, serverOf("a", 4, 77), at(5s));
     BOOST_TEST(directory.isUsable(a));
     BOOST_TEST(!directory.drainingFor(a, at(5s)).has_value());
+    BOOST_TEST(directory.markLeaving(a, 77, at(6s)));
+    // A late answer of the process before.
+    BOOST_TEST(!directory.markLeaving(a, 1, at(7s)));
+    BOOST_TEST(!directory.isUsable(a));
 }
 
 // The entry may say it first, or the server.
--- a/tests/auto/decisions/tst_serverrests.cpp
+++ b/tests/auto/decisions/tst_serverrests.cpp
@@ -92,6 +92,17 @@
     BOOST_TEST((rests.stateOf(nextEngine, at(4s)) == rest_state::Asked));
 }
 
+// Guards against a late answer of the process before that ends the rest of the present one.
+BOOST_AUTO_TEST_CASE(late_answers_of_the_process_before_change_nothing)
+{
+    server_rests rests(1);
+    rests.asked(nextEngine, 5s, at(0s));
+    rests.asked(engine, 1s, at(1s));
+    rests.taken(engine, at(0s), at(1s));
+    BOOST_TEST((rests.stateOf(engine, at(3s)) == rest_state::None));
+    BOOST_TEST((rests.askedUntil(nextEngine, at(3s)) == at(5s)));
+}
+
 BOOST_AUTO_TEST_CASE(a_rest_of_years_is_bounded)
 {
     server_rests rests(1);
