--- a/tests/auto/gateway/tst_restingservers.cpp
+++ b/tests/auto/gateway/tst_restingservers.cpp
@@ -12,7 +12,6 @@
 using namespace std::chrono_literals;
 using platform_standin::replica_act;
 using platform_standin::replica_request;
-using platform_standin::replica_standin;
 using steady_time = std::chrono::steady_clock::time_point;
 
 namespace {
