--- a/src/libs/decisions/loadshedding.cpp
+++ b/src/libs/decisions/loadshedding.cpp
@@ -56,6 +56,14 @@
     return refusal { kind, spreadRetryAfter(pause, pause, query.hash) };
 }
 
+refusal load_shedder::refuse(std::uint64_t hash, utils::time_point now)
+{
+    decayCounts(now);
+    ++m_refused;
+    const utils::duration pause = std::max(minRetryAfter, backlogTime());
+    return { utils::error_kind::QueueFull, spreadRetryAfter(pause, pause, hash) };
+}
+
 utils::duration load_shedder::backlogTime() const
 {
     return utils::fromSeconds(utils::toSeconds(countDecayTime) * m_refused / std::max(1.0, m_admitted));
--- a/src/libs/decisions/loadshedding.h
+++ b/src/libs/decisions/loadshedding.h
@@ -55,6 +55,8 @@
     void recordTarget(int urgency, utils::duration target);
     /// Returns nothing if the request is admitted.
     std::optional<refusal> decide(const shed_query& query, utils::time_point now);
+    /// Counts a request that is refused for another reason than its wait, and returns the refusal.
+    refusal refuse(std::uint64_t hash, utils::time_point now);
     /// Longest queueing time of requests of that urgency.
     utils::duration limitFor(int urgency, utils::duration target) const;
 
--- /dev/null
+++ b/src/libs/decisions/overloadcontrol.cpp
@@ -0,0 +1,176 @@
+#include "overloadcontrol.h"
+
+#include "utils/hashing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace decisions {
+
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(admission_bound::Count_)> boundNames { "none",
+    "urgency", "workspace" };
+constexpr double meanDecay = 1 - 1.0 / 256; // per request, of the mean work of its urgency
+constexpr utils::duration loadSmoothing = std::chrono::milliseconds(100);
+constexpr double shortageShare = 0.9; // of the capacity, offered
+constexpr double recoverySeconds = 5; // of the corrected capacity, without a shortage
+constexpr int shareRounds = 6; // the least share depends on the shares of all urgencies
+
+double sumOf(const std::array<double, urgencyLevels>& values)
+{
+    return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+} // namespace
+
+std::string_view toString(admission_bound bound)
+{
+    return boundNames.at(static_cast<std::size_t>(bound));
+}
+
+void overload_control::record(const work_query& query, utils::time_point now)
+{
+    m_offered.record(query.workspace, query.urgency, query.work, now);
+    const std::size_t urgency = urgencyIndex(query.urgency);
+    m_work[urgency] = meanDecay * m_work[urgency] + query.work;
+    m_requests[urgency] = meanDecay * m_requests[urgency] + 1;
+}
+
+admission_share overload_control::shareOf(
+    const work_query& query, const service_room& room, utils::time_point now)
+{
+    update(room, now);
+    const auto heavy = m_heavy.find(query.workspace);
+    const group_shares& group = heavy == m_heavy.end() ? m_others : heavy->second;
+    admission_share result { 1, admission_bound::None, m_offeredWork, m_capacity };
+    if (!group.isBound)
+        return result;
+    const std::size_t urgency = urgencyIndex(query.urgency);
+    const double mean = meanWork(urgency);
+    const double relative = mean > 0 ? query.work / mean : 1;
+    const double exponent = std::clamp(relative, minWorkExponent, maxWorkExponent);
+    result.share = std::pow(group.byUrgency[urgency], exponent);
+    if (result.share < 1)
+        result.bound = heavy == m_heavy.end() ? admission_bound::Urgency : admission_bound::Workspace;
+    return result;
+}
+
+bool overload_control::isAdmitted(const admission_share& share, std::uint64_t hash)
+{
+    return share.share >= 1 || utils::toUnitInterval(hash) < share.share;
+}
+
+void overload_control::update(const service_room& room, utils::time_point now)
+{
+    if (m_updatedAt != utils::time_point() && now - m_updatedAt < updateInterval)
+        return;
+    const work_total total = m_offered.total(room.livePeers, now);
+    m_offeredWork = total.work();
+    observeLoad(room, now);
+    m_updatedAt = now;
+    m_capacity = room.slots
+        * std::clamp(m_correction + loadGain * (fullLoad - m_load), minCorrection, maxCorrection);
+    m_heavy.clear();
+    m_others = {};
+    if (m_offeredWork <= m_capacity || m_capacity <= 0)
+        return;
+    const even_part part = evenPart(total, m_capacity);
+    urgency_values othersWork = total.byUrgency;
+    double othersCapacity = m_capacity;
+    for (const auto& [workspace, work] : total.byWorkspace) {
+        if (work <= heavyFactor * part.usualWork)
+            continue;
+        urgency_values byUrgency = m_offered.sharesByUrgency(workspace, now);
+        for (std::size_t i = 0; i < byUrgency.size(); ++i) {
+            byUrgency[i] *= work;
+            othersWork[i] = std::max(0.0, othersWork[i] - byUrgency[i]);
+        }
+        m_heavy[workspace] = shareOut(byUrgency, part.work);
+        othersCapacity -= part.work;
+    }
+    m_others = shareOut(othersWork, std::max(0.0, othersCapacity));
+}
+
+void overload_control::observeLoad(const service_room& room, utils::time_point now)
+{
+    if (room.slots <= 0)
+        return;
+    const double load = room.requests / room.slots;
+    if (m_updatedAt == utils::time_point()) {
+        m_load = load;
+        return;
+    }
+    const double seconds = utils::toSeconds(now - m_updatedAt);
+    const double kept = std::exp(-seconds / utils::toSeconds(loadSmoothing));
+    m_load = kept * m_load + (1 - kept) * load;
+    const bool isShort = m_offeredWork > shortageShare * m_capacity;
+    const double change
+        = isShort ? correctionPerSecond * (fullLoad - m_load) : (1 - m_correction) / recoverySeconds;
+    m_correction = std::clamp(m_correction + change * std::min(1.0, seconds), minCorrection, maxCorrection);
+}
+
+overload_control::even_part overload_control::evenPart(const work_total& total, double capacity)
+{
+    std::vector<std::pair<double, double>> claims; // work of each workspace, and number of workspaces
+    for (const auto& [workspace, work] : total.byWorkspace)
+        claims.emplace_back(work, 1);
+    if (total.otherWorkspaces > 0)
+        claims.emplace_back(total.otherWork / total.otherWorkspaces, total.otherWorkspaces);
+    std::ranges::sort(claims);
+    const double count = std::accumulate(
+        claims.begin(), claims.end(), 0.0, [](double sum, const auto& claim) { return sum + claim.second; });
+    double left = capacity;
+    double remaining = count;
+    double median = 0;
+    std::optional<double> part;
+    for (const auto& [work, number] : claims) {
+        if (!part && work * remaining >= left)
+            part = left / remaining;
+        left -= work * number;
+        if (remaining > count / 2)
+            median = work;
+        remaining -= number;
+    }
+    return { part.value_or(capacity), std::max(median, part.value_or(capacity)) };
+}
+
+overload_control::group_shares overload_control::shareOut(const urgency_values& work, double capacity) const
+{
+    group_shares group;
+    group.byUrgency.fill(1);
+    const double offered = sumOf(work);
+    if (offered <= capacity)
+        return group;
+    group.isBound = true;
+    urgency_values requests {};
+    for (std::size_t i = 0; i < work.size(); ++i)
+        requests[i] = meanWork(i) > 0 ? work[i] / meanWork(i) : 0;
+    const double allRequests = sumOf(requests);
+    double least = leastShare * capacity / offered;
+    for (int round = 0; round < shareRounds; ++round) {
+        double left = std::max(0.0, capacity - least * offered);
+        double admitted = 0;
+        for (std::size_t i = 0; i < work.size(); ++i) {
+            const double more = work[i] > 0 ? std::min(1 - least, left / work[i]) : 1 - least;
+            left -= more * work[i];
+            group.byUrgency[i] = least + more;
+            admitted += group.byUrgency[i] * requests[i];
+        }
+        if (allRequests <= 0)
+            break;
+        least = std::min(leastShare * admitted / allRequests, capacity / offered);
+    }
+    return group;
+}
+
+double overload_control::meanWork(std::size_t urgency) const
+{
+    return m_requests[urgency] > 0 ? m_work[urgency] / m_requests[urgency] : 0;
+}
+
+} // namespace decisions
