--- a/src/libs/decisions/overloadcontrol.cpp
+++ b/src/libs/decisions/overloadcontrol.cpp
@@ -41,10 +41,8 @@
     m_requests[urgency] = meanDecay * m_requests[urgency] + 1;
 }
 
-admission_share overload_control::shareOf(
-    const work_query& query, const service_room& room, utils::time_point now)
+admission_share overload_control::shareOf(const work_query& query) const
 {
-    update(room, now);
     const auto heavy = m_heavy.find(query.workspace);
     const group_shares& group = heavy == m_heavy.end() ? m_others : heavy->second;
     admission_share result { 1, admission_bound::None, m_offeredWork, m_capacity };
@@ -67,8 +65,6 @@
 
 void overload_control::update(const service_room& room, utils::time_point now)
 {
-    if (m_updatedAt != utils::time_point() && now - m_updatedAt < updateInterval)
-        return;
     const work_total total = m_offered.total(room.livePeers, now);
     m_offeredWork = total.work();
     observeLoad(room, now);
--- a/src/libs/decisions/overloadcontrol.h
+++ b/src/libs/decisions/overloadcontrol.h
@@ -86,13 +86,21 @@
 
     /// Records a request on arrival, before it is decided on, and also if it is not.
     void record(const work_query& query, utils::time_point now);
-    /// Returns the share of requests like this one that are admitted. Changes no decision: what is asked
-    /// about is not recorded.
-    admission_share shareOf(const work_query& query, const service_room& room, utils::time_point now);
+    /// Whether the shares are so old that update() should be called before they are asked for.
+    bool isDue(utils::time_point now) const
+    {
+        return m_updatedAt == utils::time_point() || now - m_updatedAt >= updateInterval;
+    }
+    /// Computes the shares anew.
+    void update(const service_room& room, utils::time_point now);
+    /// Returns the share of requests like this one that are admitted, as of the last update.
+    admission_share shareOf(const work_query& query) const;
     /// Whether a request is among the share that is admitted. Thread safe.
     static bool isAdmitted(const admission_share& share, std::uint64_t hash);
 
     offered_work& offered() { return m_offered; }
+    /// Work offered by all nodes as a multiple of the capacity, as of the last update; 0 before.
+    double fill() const { return m_capacity > 0 ? m_offeredWork / m_capacity : 0; }
 
 private:
     using urgency_values = std::array<double, urgencyLevels>;
@@ -102,7 +110,6 @@
         bool isBound = false;
     };
 
-    void update(const service_room& room, utils::time_point now);
     /// The part of the room that each workspace gets while others want more.
     struct even_part {
         double work = 0; ///< slot seconds a second
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -1,17 +1,18 @@
 #pragma once
 
-#include "clientsession.h"
-#include "crashdirectory.h"
+#include "gateway/load/workdirectory.h"
+#include "gateway/peers/crashdirectory.h"
+#include "gateway/peers/peerforwarder.h"
+#include "gateway/peers/peerlink.h"
+#include "gateway/peers/peertable.h"
+#include "gateway/peers/streamdirectory.h"
+#include "gateway/requests/clientsession.h"
+#include "gateway/servers/pathprober.h"
+#include "gateway/servers/servernotices.h"
+#include "gateway/view/recordkeeper.h"
+#include "gateway/view/viewupdater.h"
 #include "nodecontext.h"
-#include "pathprober.h"
-#include "peerforwarder.h"
-#include "peerlink.h"
-#include "peertable.h"
-#include "recordkeeper.h"
-#include "servernotices.h"
-#include "streamdirectory.h"
 #include "textserver.h"
-#include "viewupdater.h"
 
 #include "wire/acceptloop.h"
 #include "wire/connect.h"
@@ -49,6 +50,7 @@
         , m_streams(m_context, m_peers)
         , m_crashes(m_context, m_peers)
         , m_notices(m_context, m_peers)
+        , m_work(m_context, m_peers)
         , m_versionKeeper(m_context, m_peers, version_record { m_context.versions })
         , m_partKeeper(m_context, m_peers, part_record { m_context.crashingParts })
         , m_acceptor(executor)
@@ -69,6 +71,7 @@
         m_streams.start(send);
         m_crashes.start(send);
         m_notices.start(send);
+        m_work.start(send);
         m_readiness->listen(m_context.options.readinessAddress);
         m_link->listen(m_context.options.peerAddress);
         if (m_context.options.metricsPort != 0)
@@ -118,6 +121,7 @@
         events.onStreamMessage = [this](const stream_message& message) { m_streams.onMessage(message); };
         events.onCrashMessage = [this](const crash_message& message) { m_crashes.onMessage(message); };
         events.onRestMessage = [this](const rest_message& message) { m_notices.onMessage(message, now()); };
+        events.onWorkMessage = [this](const work_message& message) { m_work.onMessage(message, now()); };
         events.makeCopy = [this](const view_request& request) { return m_viewUpdater.copy(request, now()); };
         return events;
     }
@@ -280,6 +284,7 @@
         m_streams.tick(present);
         m_crashes.tick(present);
         m_notices.tick(present);
+        m_work.tick(present);
         sendHeartbeats();
         advanceStop(present);
     }
@@ -436,6 +441,7 @@
     stream_directory m_streams;
     crash_directory m_crashes;
     server_notices m_notices;
+    work_directory m_work;
     record_keeper<Store, version_record> m_versionKeeper;
     record_keeper<Store, part_record> m_partKeeper;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -78,11 +78,20 @@
     const auto found = responseTimes.find(service);
     if (found != responseTimes.end())
         return found->second;
+    return responseTimes[service] = decisions::response_times(initialOccupancy(service));
+}
+
+decisions::request_work& node_context::workOf(const std::string& service)
+{
+    return work.try_emplace(service, initialOccupancy(service)).first->second;
+}
+
+utils::duration node_context::initialOccupancy(const std::string& service) const
+{
     const catalogue::service* entry = configuration ? configuration->findService(service) : nullptr;
     const bool isEngine = entry != nullptr && entry->engine;
-    return responseTimes[service]
-        = decisions::response_times(isEngine ? decisions::response_times::initialStreamOccupancy
-                                             : decisions::response_times::initialOccupancy);
+    return isEngine ? decisions::response_times::initialStreamOccupancy
+                    : decisions::response_times::initialOccupancy;
 }
 
 utils::duration node_context::peerPrefillTime(
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "connectionpool.h"
+#include "gateway/servers/connectionpool.h"
 #include "nodemetrics.h"
 #include "nodeoptions.h"
 
@@ -12,10 +12,12 @@
 #include "decisions/fleetsize.h"
 #include "decisions/loadshedding.h"
 #include "decisions/loopdelay.h"
+#include "decisions/overloadcontrol.h"
 #include "decisions/poisonregister.h"
 #include "decisions/recentfailures.h"
 #include "decisions/rejectionlimiter.h"
 #include "decisions/repeatallowance.h"
+#include "decisions/requestwork.h"
 #include "decisions/responsetimes.h"
 #include "decisions/serverchoice.h"
 #include "decisions/serverhealth.h"
@@ -74,6 +76,9 @@
     decisions::stalled_attempts stalls; ///< of this node's attempts at backend servers
     std::map<std::string, decisions::response_times> responseTimes; ///< by service
     std::map<std::string, decisions::load_shedder> shedders; ///< by service
+    std::map<std::string, decisions::overload_control> overload; ///< by service
+    std::map<std::string, decisions::request_work> work; ///< by service
+    std::size_t peerCount = 0; ///< other nodes that this one knows
     decisions::loop_delay loopDelay; ///< of this node's event loop
     decisions::poison_register poison;
     decisions::crashing_parts crashingParts;
@@ -93,6 +98,8 @@
     decisions::repeat_allowance& repeatsOf(const std::string& service);
     /// Response time statistics of a service.
     decisions::response_times& responseTimesOf(const std::string& service);
+    /// Statistics of the time that requests of a service hold a slot.
+    decisions::request_work& workOf(const std::string& service);
     /// How long a backend server may be silent while it reads prompts that other nodes have sent.
     utils::duration peerPrefillTime(
         const std::string& service, const utils::server_id& server, utils::time_point present) const;
@@ -120,6 +127,9 @@
     void suspectOtherServices(const std::string& service);
     /// Updates the health tracking and the software versions to the current directory of backend servers.
     void updateServers();
+
+private:
+    utils::duration initialOccupancy(const std::string& service) const;
 };
 
 } // namespace gateway
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "attempt.h"
-#include "cutanswer.h"
-#include "store.h"
+#include "gateway/requests/attempt.h"
+#include "gateway/requests/cutanswer.h"
+#include "gateway/view/store.h"
 
 #include "decisions/stalledattempts.h"
 
--- a/src/libs/gateway/crashdirectory.cpp
+++ b/src/libs/gateway/peers/crashdirectory.cpp
@@ -1,8 +1,8 @@
 #include "crashdirectory.h"
 
-#include "clock.h"
-#include "connectattempt.h"
-#include "requestlog.h"
+#include "gateway/clock.h"
+#include "gateway/requests/requestlog.h"
+#include "gateway/servers/connectattempt.h"
 
 #include "wire/connect.h"
 #include "wire/task.h"
--- a/src/libs/gateway/crashdirectory.h
+++ b/src/libs/gateway/peers/crashdirectory.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "attempttracker.h"
 #include "crashmessages.h"
-#include "nodecontext.h"
+#include "gateway/nodecontext.h"
+#include "gateway/requests/attempttracker.h"
+#include "gateway/requests/requestplan.h"
 #include "peertable.h"
-#include "requestplan.h"
 
 #include "decisions/suspectgate.h"
 
--- a/src/libs/gateway/peerforwarder.h
+++ b/src/libs/gateway/peers/peerforwarder.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "connectionpool.h"
-#include "nodecontext.h"
+#include "gateway/nodecontext.h"
+#include "gateway/requests/requestplan.h"
+#include "gateway/servers/connectionpool.h"
 #include "peertable.h"
-#include "requestplan.h"
 
 #include <map>
 #include <optional>
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peers/peerlink.cpp
@@ -1,8 +1,8 @@
 #include "peerlink.h"
 
-#include "clock.h"
 #include "copystream.h"
 #include "datagramcodec.h"
+#include "gateway/clock.h"
 
 #include "utils/eventlog.h"
 
@@ -110,6 +110,11 @@
                 m_events.onRestMessage(*message);
             continue;
         }
+        if (detail::isMessage<work_message>(datagram)) {
+            if (const auto message = detail::decodeMessage<work_message>(datagram))
+                m_events.onWorkMessage(*message);
+            continue;
+        }
         const auto heartbeat = decodeHeartbeat(datagram);
         if (heartbeat)
             m_events.onHeartbeat(*heartbeat);
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peers/peerlink.h
@@ -5,6 +5,8 @@
 #include "restmessage.h"
 #include "streammessages.h"
 
+#include "gateway/load/workmessage.h"
+
 #include "decisions/copygate.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -41,6 +43,7 @@
     std::function<void(const stream_message&)> onStreamMessage;
     std::function<void(const crash_message&)> onCrashMessage;
     std::function<void(const rest_message&)> onRestMessage;
+    std::function<void(const work_message&)> onWorkMessage;
     std::function<view_copy(const view_request&)> makeCopy;
 };
 
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peers/peermessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "store.h"
+#include "gateway/view/store.h"
 
 #include "decisions/poisonregister.h"
 #include "decisions/recentfailures.h"
--- a/src/libs/gateway/streamdirectory.cpp
+++ b/src/libs/gateway/peers/streamdirectory.cpp
@@ -1,6 +1,6 @@
 #include "streamdirectory.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/libs/gateway/streamdirectory.h
+++ b/src/libs/gateway/peers/streamdirectory.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "nodecontext.h"
+#include "gateway/nodecontext.h"
+#include "gateway/requests/requestplan.h"
 #include "peertable.h"
-#include "requestplan.h"
 #include "streammessages.h"
 
 #include "decisions/originsearch.h"
--- a/src/libs/gateway/attempttracker.cpp
+++ b/src/libs/gateway/requests/attempttracker.cpp
@@ -136,6 +136,7 @@
     if (!isShort) {
         if (m_firstEventAt == utils::time_point())
             return;
+        m_context.workOf(m_plan.service).record(m_plan.route->name, m_plan.outputHint, now - m_firstEventAt);
         times.recordOccupancy(
             queueUrgency(m_plan), now - m_firstEventAt + times.forecast(m_unreadTokens).prefill);
         return;
@@ -143,6 +144,7 @@
     if (!m_hasSlot)
         return;
     times.recordFirstByte(0, now - m_sentAt);
+    m_context.workOf(m_plan.service).record(m_plan.route->name, m_plan.outputHint, now - m_sentAt);
     times.recordOccupancy(queueUrgency(m_plan), now - m_sentAt);
 }
 
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/requests/callerconnection.cpp
@@ -1,8 +1,8 @@
 #include "callerconnection.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
+#include "gateway/servers/httpconnection.h"
 #include "headcheck.h"
-#include "httpconnection.h"
 
 #include "wire/socketpeek.h"
 
--- a/src/libs/gateway/clientsession.h
+++ b/src/libs/gateway/requests/clientsession.h
@@ -2,7 +2,7 @@
 
 #include "callerconnection.h"
 #include "cutanswer.h"
-#include "nodecontext.h"
+#include "gateway/nodecontext.h"
 #include "requestflow.h"
 #include "requestlog.h"
 #include "responsewriter.h"
--- a/src/libs/gateway/flowresult.h
+++ b/src/libs/gateway/requests/flowresult.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "attempt.h"
+#include "gateway/peers/streamdirectory.h"
 #include "requestplan.h"
 #include "stopscope.h"
-#include "streamdirectory.h"
 
 #include "utils/errorkind.h"
 
--- a/src/libs/gateway/messages.h
+++ b/src/libs/gateway/requests/messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwardhop.h"
+#include "gateway/peers/forwardhop.h"
 
 #include "decisions/prefixindex.h"
 
@@ -37,6 +37,7 @@
     std::string resumedRequest;
     std::vector<decisions::prompt_part> prompt; ///< shared parts first; the last one is the request's own
     std::uint32_t promptTokens = 0;
+    std::optional<std::uint32_t> outputHint; ///< output tokens as the caller estimates them
     std::vector<header_line> forwardedHeaders; ///< headers that are forwarded to the backend server
     std::shared_ptr<const std::string> body; ///< null when there is none; shared with the writes that send it
     utils::time_point arrivedAt {};
--- a/src/libs/gateway/replacementsearch.cpp
+++ b/src/libs/gateway/requests/replacementsearch.cpp
@@ -1,7 +1,7 @@
 #include "replacementsearch.h"
 
-#include "clock.h"
-#include "connectattempt.h"
+#include "gateway/clock.h"
+#include "gateway/servers/connectattempt.h"
 #include "requestlog.h"
 
 #include "wire/connect.h"
--- a/src/libs/gateway/replacementsearch.h
+++ b/src/libs/gateway/requests/replacementsearch.h
@@ -3,7 +3,7 @@
 #include "attempt.h"
 #include "attempttracker.h"
 #include "flowresult.h"
-#include "peerforwarder.h"
+#include "gateway/peers/peerforwarder.h"
 #include "requestplan.h"
 #include "stopscope.h"
 
--- a/src/libs/gateway/requestlog.cpp
+++ b/src/libs/gateway/requests/requestlog.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+std::string percentText(double share)
+{
+    return std::to_string(static_cast<int>(100 * share));
+}
+
 std::string millisecondsText(utils::duration time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -98,6 +103,12 @@
         fields.push_back({ "caller", result.endOfCaller });
     if (result.refused) {
         fields.push_back({ "urgency", std::to_string(result.refused->query.urgency) });
+        fields.push_back({ "bound", std::string(decisions::toString(result.refused->admission.bound)) });
+        fields.push_back({ "admitted_percent", percentText(result.refused->admission.share) });
+        fields.push_back({ "offered", std::to_string(static_cast<int>(result.refused->admission.offered)) });
+        fields.push_back(
+            { "capacity", std::to_string(static_cast<int>(result.refused->admission.capacity)) });
+        fields.push_back({ "work_ms", millisecondsText(utils::fromSeconds(result.refused->work)) });
         fields.push_back({ "slot_wait_ms", millisecondsText(result.refused->query.slotWait) });
         fields.push_back({ "queue_ms", millisecondsText(result.refused->query.queueing) });
         fields.push_back({ "expected_ms", millisecondsText(result.refused->query.expectedAnswer) });
--- a/src/libs/gateway/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -1,5 +1,7 @@
 #include "requestplan.h"
 
+#include "gateway/load/workmessage.h"
+
 #include "utils/hashing.h"
 
 #include <algorithm>
@@ -234,6 +236,7 @@
         plan.copiesPrompts
             = isCopyWorthwhile(*service->engine, plan.promptTokens, context.responseTimesOf(plan.service));
         plan.parts = request.prompt;
+        plan.outputHint = request.outputHint;
     }
     const utils::duration callerTimeout = request.callerTimeout.value_or(plan.route->timeout);
     plan.callerDeadline = request.arrivedAt + callerTimeout;
@@ -332,6 +335,26 @@
         || std::ranges::any_of(context.servers.usable(plan.service), isServing);
 }
 
+namespace {
+
+/// The room of a service: the slots and the load of the servers that may get requests of this node.
+decisions::service_room roomOf(node_context& context, const std::string& service, utils::time_point now)
+{
+    decisions::service_room room;
+    room.livePeers = context.peerCount;
+    const double unheard = context.loads.peerScale(now) - 1;
+    for (const catalogue::backend_server* server : context.servers.usable(service)) {
+        if (context.health.weight(service, server->id, now) <= 0 || context.isResting(*server, now))
+            continue;
+        const decisions::load_total load = context.loads.total(server->id, now);
+        room.slots += server->slots;
+        room.requests += load.requests + (load.isReported ? 0 : unheard * load.peerRequests);
+    }
+    return room;
+}
+
+} // namespace
+
 std::optional<overload_refusal> refuseOverload(node_context& context, const client_request& request,
     const request_plan& plan, const decisions::placement& chosen, utils::time_point now)
 {
@@ -351,10 +374,22 @@
     query.timeLeft = plan.deadline - now;
     query.urgency = plan.urgency;
     query.hash = utils::hash64(request.requestId);
-    const auto refusal = shedder.decide(query, now);
+    decisions::overload_control& control = context.overload[plan.service];
+    decisions::work_query work { workspaceHash(plan.workspace), plan.urgency, 0, query.hash };
+    work.work = utils::toSeconds(times.forecast(unread).prefill)
+        + context.workOf(plan.service).forecast(plan.route->name, plan.outputHint);
+    control.record(work, now);
+    if (control.isDue(now))
+        control.update(roomOf(context, plan.service, now), now);
+    const decisions::admission_share share = control.shareOf(work);
+    // The rest of a stream that has begun costs its caller more than a new request.
+    const bool isAdmitted = request.lastEventId || decisions::overload_control::isAdmitted(share, query.hash);
+    const std::optional<decisions::refusal> refusal
+        = isAdmitted ? shedder.decide(query, now) : shedder.refuse(query.hash, now);
     if (!refusal)
         return std::nullopt;
-    return overload_refusal { *refusal, query, shedder.limitFor(query.urgency, query.target) };
+    return overload_refusal { *refusal, query, shedder.limitFor(query.urgency, query.target), share,
+        work.work };
 }
 
 copy_source copySource(node_context& context, const request_plan& plan,
--- a/src/libs/gateway/requestplan.h
+++ b/src/libs/gateway/requests/requestplan.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gateway/nodecontext.h"
 #include "messages.h"
-#include "nodecontext.h"
 
 #include "utils/result.h"
 
@@ -27,6 +27,7 @@
     decisions::body_digest digest; ///< identifies the request among those that crashed a server
     std::vector<decisions::prompt_part> parts; ///< of the prompt; the last one is the request's own
     std::uint32_t promptTokens = 0;
+    std::optional<std::uint32_t> outputHint; ///< output tokens as the caller estimates them
     utils::time_point deadline {}; ///< of this node: the earlier of the timeouts of the route and the caller
     utils::time_point callerDeadline {};
 
@@ -82,10 +83,12 @@
     decisions::refusal refusal;
     decisions::shed_query query;
     utils::duration limit {}; ///< accepted time in queues
+    decisions::admission_share admission; ///< of requests like this one
+    double work = 0; ///< slot seconds that it was expected to take
 };
 
-/// Decides whether to refuse a request that has not been sent yet because it would wait too long at the
-/// chosen server; nullopt when it should be sent.
+/// Decides whether to refuse a request that has not been sent yet because others are to have the room that
+/// there is, or because it would wait too long at the chosen server; nullopt when it should be sent.
 std::optional<overload_refusal> refuseOverload(node_context& context, const client_request& request,
     const request_plan& plan, const decisions::placement& chosen, utils::time_point now);
 
--- a/src/libs/gateway/requestwaits.cpp
+++ b/src/libs/gateway/requests/requestwaits.cpp
@@ -1,6 +1,6 @@
 #include "requestwaits.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libs/gateway/responserelay.h
+++ b/src/libs/gateway/requests/responserelay.h
@@ -2,15 +2,15 @@
 
 #include "attempt.h"
 #include "attempttracker.h"
-#include "clock.h"
 #include "eventscanner.h"
 #include "flowresult.h"
-#include "forwardhop.h"
+#include "gateway/clock.h"
+#include "gateway/peers/forwardhop.h"
+#include "gateway/peers/streamdirectory.h"
+#include "gateway/servers/servernotices.h"
 #include "replacementsearch.h"
 #include "responsewriter.h"
-#include "servernotices.h"
 #include "stopscope.h"
-#include "streamdirectory.h"
 #include "wireprotocol.h"
 
 #include <boost/asio/use_awaitable.hpp>
--- a/src/libs/gateway/steppedwait.cpp
+++ b/src/libs/gateway/requests/steppedwait.cpp
@@ -1,6 +1,6 @@
 #include "steppedwait.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/libs/gateway/stopscope.cpp
+++ b/src/libs/gateway/requests/stopscope.cpp
@@ -1,6 +1,6 @@
 #include "stopscope.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
 
 namespace gateway {
 
--- a/src/libs/gateway/stopscope.h
+++ b/src/libs/gateway/requests/stopscope.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "httpconnection.h"
+#include "gateway/servers/httpconnection.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/libs/gateway/connectattempt.cpp
+++ b/src/libs/gateway/servers/connectattempt.cpp
@@ -1,6 +1,6 @@
 #include "connectattempt.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
 
 #include <boost/asio/use_awaitable.hpp>
 
--- a/src/libs/gateway/connectattempt.h
+++ b/src/libs/gateway/servers/connectattempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "stopscope.h"
+#include "gateway/requests/stopscope.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/servers/httpclient.cpp
@@ -1,7 +1,7 @@
 #include "httpclient.h"
 
-#include "clock.h"
-#include "headerlines.h"
+#include "gateway/clock.h"
+#include "gateway/requests/headerlines.h"
 
 #include "wire/connect.h"
 
--- a/src/libs/gateway/httpconnection.cpp
+++ b/src/libs/gateway/servers/httpconnection.cpp
@@ -1,6 +1,6 @@
 #include "httpconnection.h"
 
-#include "clock.h"
+#include "gateway/clock.h"
 
 #include "wire/socketpeek.h"
 
--- a/src/libs/gateway/pathprober.cpp
+++ b/src/libs/gateway/servers/pathprober.cpp
@@ -1,7 +1,7 @@
 #include "pathprober.h"
 
-#include "clock.h"
 #include "connectattempt.h"
+#include "gateway/clock.h"
 
 #include "wire/connect.h"
 #include "wire/task.h"
--- a/src/libs/gateway/pathprober.h
+++ b/src/libs/gateway/servers/pathprober.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "nodecontext.h"
+#include "gateway/nodecontext.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/libs/gateway/servernotices.cpp
+++ b/src/libs/gateway/servers/servernotices.cpp
@@ -1,6 +1,6 @@
 #include "servernotices.h"
 
-#include "datagramcodec.h"
+#include "gateway/peers/datagramcodec.h"
 
 #include "utils/eventlog.h"
 
--- a/src/libs/gateway/servernotices.h
+++ b/src/libs/gateway/servers/servernotices.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "messages.h"
-#include "nodecontext.h"
-#include "peertable.h"
-#include "restmessage.h"
+#include "gateway/nodecontext.h"
+#include "gateway/peers/peertable.h"
+#include "gateway/peers/restmessage.h"
+#include "gateway/requests/messages.h"
 
 #include <functional>
 #include <string>
--- a/src/libs/gateway/textserver.cpp
+++ b/src/libs/gateway/textserver.cpp
@@ -1,6 +1,6 @@
 #include "textserver.h"
 
-#include "httpconnection.h"
+#include "gateway/servers/httpconnection.h"
 
 #include "wire/acceptloop.h"
 #include "wire/task.h"
--- a/src/libs/gateway/recordkeeper.h
+++ b/src/libs/gateway/view/recordkeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "clock.h"
-#include "nodecontext.h"
-#include "peertable.h"
+#include "gateway/clock.h"
+#include "gateway/nodecontext.h"
+#include "gateway/peers/peertable.h"
 #include "store.h"
 #include "storeview.h"
 
--- a/src/libs/gateway/removalhistory.h
+++ b/src/libs/gateway/view/removalhistory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peermessages.h"
+#include "gateway/peers/peermessages.h"
 
 #include <cstdint>
 #include <map>
--- a/src/libs/gateway/storeview.h
+++ b/src/libs/gateway/view/storeview.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "clock.h"
-#include "nodecontext.h"
-#include "peermessages.h"
+#include "gateway/clock.h"
+#include "gateway/nodecontext.h"
+#include "gateway/peers/peermessages.h"
 #include "removalhistory.h"
 #include "store.h"
 
--- a/src/libs/gateway/storewatcher.h
+++ b/src/libs/gateway/view/storewatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "clock.h"
+#include "gateway/clock.h"
 #include "store.h"
 
 #include <boost/asio/as_tuple.hpp>
--- a/src/libs/gateway/viewupdater.h
+++ b/src/libs/gateway/view/viewupdater.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "nodecontext.h"
-#include "peerlink.h"
-#include "peertable.h"
+#include "gateway/nodecontext.h"
+#include "gateway/peers/peerlink.h"
+#include "gateway/peers/peertable.h"
 #include "storeview.h"
 #include "storewatcher.h"
 
--- a/tests/auto/decisions/overloadhistory.h
+++ b/tests/auto/decisions/overloadhistory.h
@@ -299,7 +299,9 @@
         if (m_history.rule == overload_rule::ByWork) {
             const decisions::work_query query = workQuery(*one);
             node.control.record(query, now());
-            const auto share = node.control.shareOf(query, roomAt(node), now());
+            if (node.control.isDue(now()))
+                node.control.update(roomAt(node), now());
+            const auto share = node.control.shareOf(query);
             if (!decisions::overload_control::isAdmitted(share, one->hash)) {
                 const auto refusal = node.shedder.refuse(one->hash, now());
                 refuse(one, utils::toSeconds(refusal.retryAfter));
--- a/tests/auto/gateway/tst_attempt.cpp
+++ b/tests/auto/gateway/tst_attempt.cpp
@@ -1,4 +1,4 @@
-#include "gateway/attempt.h"
+#include "gateway/requests/attempt.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_callerconnection.cpp
+++ b/tests/auto/gateway/tst_callerconnection.cpp
@@ -1,4 +1,4 @@
-#include "gateway/callerconnection.h"
+#include "gateway/requests/callerconnection.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/auto/gateway/tst_crashmessages.cpp
+++ b/tests/auto/gateway/tst_crashmessages.cpp
@@ -1,6 +1,6 @@
-#include "gateway/crashmessages.h"
-#include "gateway/peermessages.h"
-#include "gateway/streammessages.h"
+#include "gateway/peers/crashmessages.h"
+#include "gateway/peers/peermessages.h"
+#include "gateway/peers/streammessages.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_eventscanner.cpp
+++ b/tests/auto/gateway/tst_eventscanner.cpp
@@ -1,4 +1,4 @@
-#include "gateway/eventscanner.h"
+#include "gateway/requests/eventscanner.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_forwardhop.cpp
+++ b/tests/auto/gateway/tst_forwardhop.cpp
@@ -1,4 +1,4 @@
-#include "gateway/forwardhop.h"
+#include "gateway/peers/forwardhop.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_gatewayview.cpp
+++ b/tests/auto/gateway/tst_gatewayview.cpp
@@ -1,6 +1,6 @@
 #include "gatewaytestbed.h"
 
-#include "gateway/peermessages.h"
+#include "gateway/peers/peermessages.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/tests/auto/gateway/tst_headcheck.cpp
+++ b/tests/auto/gateway/tst_headcheck.cpp
@@ -1,4 +1,4 @@
-#include "gateway/headcheck.h"
+#include "gateway/requests/headcheck.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_httpcaller.cpp
+++ b/tests/auto/gateway/tst_httpcaller.cpp
@@ -1,5 +1,5 @@
 #include "gateway/clock.h"
-#include "gateway/httpclient.h"
+#include "gateway/servers/httpclient.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -1,5 +1,5 @@
-#include "gateway/httpconnection.h"
-#include "gateway/stopscope.h"
+#include "gateway/requests/stopscope.h"
+#include "gateway/servers/httpconnection.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/auto/gateway/tst_peerforwarder.cpp
+++ b/tests/auto/gateway/tst_peerforwarder.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peerforwarder.h"
+#include "gateway/peers/peerforwarder.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/auto/gateway/tst_peerlink.cpp
+++ b/tests/auto/gateway/tst_peerlink.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peerlink.h"
+#include "gateway/peers/peerlink.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
--- a/tests/auto/gateway/tst_peers.cpp
+++ b/tests/auto/gateway/tst_peers.cpp
@@ -1,5 +1,5 @@
-#include "gateway/peermessages.h"
-#include "gateway/peertable.h"
+#include "gateway/peers/peermessages.h"
+#include "gateway/peers/peertable.h"
 
 #include "decisions/fleetsize.h"
 #include "decisions/followrule.h"
--- a/tests/auto/gateway/tst_replacementsearch.cpp
+++ b/tests/auto/gateway/tst_replacementsearch.cpp
@@ -1,6 +1,6 @@
-#include "gateway/replacementsearch.h"
+#include "gateway/requests/replacementsearch.h"
 
-#include "gateway/crashdirectory.h"
+#include "gateway/peers/crashdirectory.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/auto/gateway/tst_restmessage.cpp
+++ b/tests/auto/gateway/tst_restmessage.cpp
@@ -1,8 +1,8 @@
-#include "gateway/crashmessages.h"
-#include "gateway/datagramcodec.h"
-#include "gateway/peermessages.h"
-#include "gateway/restmessage.h"
-#include "gateway/streammessages.h"
+#include "gateway/peers/crashmessages.h"
+#include "gateway/peers/datagramcodec.h"
+#include "gateway/peers/peermessages.h"
+#include "gateway/peers/restmessage.h"
+#include "gateway/peers/streammessages.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_storeview.cpp
+++ b/tests/auto/gateway/tst_storeview.cpp
@@ -1,4 +1,4 @@
-#include "gateway/storeview.h"
+#include "gateway/view/storeview.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/auto/gateway/tst_storewatcher.cpp
+++ b/tests/auto/gateway/tst_storewatcher.cpp
@@ -1,4 +1,4 @@
-#include "gateway/storewatcher.h"
+#include "gateway/view/storewatcher.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/auto/gateway/tst_streammessages.cpp
+++ b/tests/auto/gateway/tst_streammessages.cpp
@@ -1,5 +1,5 @@
-#include "gateway/peermessages.h"
-#include "gateway/streammessages.h"
+#include "gateway/peers/peermessages.h"
+#include "gateway/peers/streammessages.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/auto/gateway/tst_viewupdater.cpp
+++ b/tests/auto/gateway/tst_viewupdater.cpp
@@ -1,4 +1,4 @@
-#include "gateway/viewupdater.h"
+#include "gateway/view/viewupdater.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -1,6 +1,6 @@
 #include "platform/requestcodec.h"
 
-#include "gateway/wireprotocol.h"
+#include "gateway/requests/wireprotocol.h"
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/fuzz/gatewayproperty.h
+++ b/tests/fuzz/gatewayproperty.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/eventscanner.h"
-#include "gateway/headcheck.h"
-#include "gateway/peermessages.h"
+#include "gateway/peers/peermessages.h"
+#include "gateway/requests/eventscanner.h"
+#include "gateway/requests/headcheck.h"
 #include "platform/configdecoder.h"
 #include "platform/serverdecoder.h"
 #include "platform/storemessages.h"
