--- a/src/libs/decisions/overloadcontrol.h
+++ b/src/libs/decisions/overloadcontrol.h
@@ -104,6 +104,11 @@
     offered_work& offered() { return m_offered; }
     /// Work offered by all nodes as a multiple of the capacity, as of the last update; 0 before.
     double fill() const { return m_capacity > 0 ? m_offeredWork / m_capacity : 0; }
+    /// Both in slot seconds a second, as of the last update.
+    double offeredWork() const { return m_offeredWork; }
+    double capacity() const { return m_capacity; }
+    /// Workspaces that are bound to their part of the room.
+    std::size_t heavyWorkspaces() const { return m_heavy.size(); }
 
 private:
     using urgency_values = std::array<double, urgencyLevels>;
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -154,6 +154,9 @@
         gauges.uptimeSeconds = utils::toSeconds(present - m_context.startedAt);
         for (const auto& [service, allowance] : m_context.repeats)
             gauges.retriesLeft.emplace_back(service, allowance.left(present));
+        for (const auto& [service, control] : m_context.overload)
+            gauges.work.push_back({ service, control.offeredWork(), control.capacity(),
+                static_cast<double>(control.heavyWorkspaces()) });
         return gauges;
     }
 
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -97,8 +97,8 @@
 utils::duration node_context::slotWait(const std::string& service, const catalogue::backend_server& server,
     std::uint32_t requests, int urgency, utils::time_point present)
 {
-    const utils::duration usual = responseTimesOf(service).slotWait(
-        requests, server.slots, urgency, overload[service].fill());
+    const utils::duration usual
+        = responseTimesOf(service).slotWait(requests, server.slots, urgency, overload[service].fill());
     return utils::fromSeconds(utils::toSeconds(usual) * pace.slowdown(server.id, present));
 }
 
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -53,6 +53,8 @@
         = counters("lycheefront_attempts_total", "Attempts at backend servers, by service and end");
     counter_family& repeats
         = counters("lycheefront_repeats_total", "Attempts sent that were retries at the service");
+    counter_family& overload = counters(
+        "lycheefront_overload_refusals_total", "Requests refused for lack of room, by service and bound");
     counter_family& resumptions = counters("lycheefront_stream_resumptions_total",
         "Streams resumed by callers, by service, source of the origin and end");
     counter_family& coldRequests
@@ -123,6 +125,21 @@
               .Name("lycheefront_retries_left")
               .Help("Retries that this node's part of the budget still allows, by service")
               .Register(registry);
+    prometheus::Family<prometheus::Gauge>& offered
+        = prometheus::BuildGauge()
+              .Name("lycheefront_offered_slots")
+              .Help("Work that callers offer to a service over all nodes, in slots, as this node knows it")
+              .Register(registry);
+    prometheus::Family<prometheus::Gauge>& capacity
+        = prometheus::BuildGauge()
+              .Name("lycheefront_capacity_slots")
+              .Help("Work that the backend servers of a service can do, in slots, as this node knows it")
+              .Register(registry);
+    prometheus::Family<prometheus::Gauge>& heavyWorkspaces
+        = prometheus::BuildGauge()
+              .Name("lycheefront_heavy_workspaces")
+              .Help("Workspaces that are bound to their part of too little room, by service")
+              .Register(registry);
     prometheus::Gauge& uptime = gauge("lycheefront_uptime_seconds", "Time since the process started");
     prometheus::Gauge& store = gauge("lycheefront_store_reachable", "1 while the store answers this node");
 };
@@ -153,6 +170,11 @@
         d->repeats.Add({ { "service", str(service) } }).Increment();
 }
 
+void node_metrics::countOverload(std::string_view service, std::string_view bound)
+{
+    d->overload.Add({ { "service", str(service) }, { "bound", str(bound) } }).Increment();
+}
+
 void node_metrics::countResumption(std::string_view service, std::string_view source, bool isAnswered)
 {
     d->resumptions
@@ -249,6 +271,11 @@
     d->uptime.Set(gauges.uptimeSeconds);
     for (const auto& [service, left] : gauges.retriesLeft)
         d->retriesLeft.Add({ { "service", service } }).Set(left);
+    for (const node_gauges::service_work& work : gauges.work) {
+        d->offered.Add({ { "service", work.service } }).Set(work.offered);
+        d->capacity.Add({ { "service", work.service } }).Set(work.capacity);
+        d->heavyWorkspaces.Add({ { "service", work.service } }).Set(work.heavyWorkspaces);
+    }
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
 }
 
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -45,6 +45,14 @@
     double uptimeSeconds = 0; ///< since the process started
     bool isStoreReachable = false;
     std::vector<std::pair<std::string, double>> retriesLeft; ///< in this node's budget, by service
+    /// What is offered to a service, and what its servers can do.
+    struct service_work {
+        std::string service;
+        double offered = 0; ///< slot seconds a second, by all nodes
+        double capacity = 0; ///< slot seconds a second
+        double heavyWorkspaces = 0; ///< that are bound to their part of the room
+    };
+    std::vector<service_work> work;
 };
 
 /// The counters, histograms and gauges of one node, in one registry. Names follow the conventions of
@@ -63,6 +71,8 @@
     void countFirstEvent(std::string_view service, utils::duration took);
     /// Counts a finished attempt at a backend server.
     void countAttempt(std::string_view service, attempt_outcome end, bool isRetry);
+    /// Counts a request that is refused because of overload, by what bounds its share.
+    void countOverload(std::string_view service, std::string_view bound);
     /// Counts a stream that a caller resumes, by how its origin became known and whether it was answered.
     void countResumption(std::string_view service, std::string_view source, bool isAnswered);
     /// Counts a request that is sent to a cold backend server.
--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -411,6 +411,8 @@
         = isAdmitted ? shedder.decide(forecast.query, now) : shedder.refuse(forecast.query.hash, now);
     if (!refusal)
         return std::nullopt;
+    context.metrics.countOverload(
+        plan.service, isAdmitted ? "wait" : decisions::toString(forecast.admission.bound));
     return overload_refusal { *refusal, forecast };
 }
 
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -146,9 +146,11 @@
 
 BOOST_AUTO_TEST_CASE(malformed_numbers_count_as_absent)
 {
-    const auto request = request_codec::decodeRequest(headOf({ { "Lycheefront-Deadline-Ms", "-5" },
-        { "Last-Event-Id", "twelve" }, { "Lycheefront-Token-Usage", "many" },
-        { "Lycheefront-Prompt-Prefix", "zz:1,:,5:,6:7" }, { "Authorization", "Basic abc" } }));
+    const auto request = request_codec::decodeRequest(
+        headOf({ { "Lycheefront-Deadline-Ms", "-5" }, { "Last-Event-Id", "twelve" },
+            { "Lycheefront-Token-Usage", "many" }, { "Lycheefront-Prompt-Prefix", "zz:1,:,5:,6:7" },
+            { "Authorization", "Basic abc" }, { "Lycheefront-Length-Hint", "long" } }));
+    BOOST_TEST(!request.outputHint.has_value());
     BOOST_TEST(!request.callerTimeout.has_value());
     BOOST_TEST(!request.lastEventId.has_value());
     BOOST_TEST(request.promptTokens == 0u);
@@ -174,6 +176,25 @@
     BOOST_TEST(answer.forwardedHeaders.size() == 2u);
 }
 
+// Guards against a pace that cannot be read and takes the other figures of a server's load with it.
+BOOST_AUTO_TEST_CASE(the_pace_of_a_server_is_decoded_beside_its_load)
+{
+    const auto loadOf = [](const std::string& text) {
+        request_codec::answer_head head;
+        head.result(200);
+        head.insert("Lycheefront-Server-Load", text);
+        return request_codec::decodeResponse(head).load;
+    };
+    BOOST_TEST(loadOf("3,1,8,250")->slowdown.value() == 2.5);
+    BOOST_TEST(loadOf("3, 1, 8, 100")->slowdown.value() == 1.0);
+    for (const std::string unreadable : { "", ",", ",slow", ",0", ",-5", ",nan", ",inf" }) {
+        const auto load = loadOf("3,1,8" + unreadable);
+        BOOST_REQUIRE(load.has_value());
+        BOOST_TEST(load->slots == 8u);
+        BOOST_TEST(!load->slowdown.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_not_executed_header_and_421_mean_not_run)
 {
     request_codec::answer_head head;
