--- a/tests/auto/gateway/tst_attempttracker.cpp
+++ b/tests/auto/gateway/tst_attempttracker.cpp
@@ -26,6 +26,7 @@
         plan.service = service;
         plan.route = &route;
         plan.isEngine = true;
+        context.responseTimes[service] = decisions::response_times(1s);
         catalogue::backend_server server;
         server.id = engine;
         server.service = service;
