Pace by the server's own word only; queues as long as answers stay in time

Cause: the time of requests counts the wait where load is high, so that all servers looked slow by turns; 1.4 times the slots is a wait of 24 ms at a plain service.

--- a/src/libs/decisions/overloadcontrol.cpp
+++ b/src/libs/decisions/overloadcontrol.cpp
@@ -20,6 +20,7 @@
 constexpr double shortageShare = 0.9; // of the capacity, offered
 constexpr double recoverySeconds = 5; // of the corrected capacity, without a shortage
 constexpr double negligibleWork = 1e-6; // slot seconds a second
+constexpr double noticeableShare = 0.02; // of all work, by one urgency
 constexpr double negligibleShare = 1e-9; // rounding
 constexpr double partTolerance = 0.1; // of the even part, for the error of measured rates
 constexpr int shareRounds = 6; // the least share depends on the shares of all urgencies
@@ -72,10 +73,11 @@
 {
     const work_total total = m_offered.total(room.livePeers, now);
     m_offeredWork = total.work();
+    m_fullLoad = fullLoad(total, room);
     observeLoad(room, now);
     m_updatedAt = now;
     m_capacity = room.slots
-        * std::clamp(m_correction + loadGain * (fullLoad - m_load), minCorrection, maxCorrection);
+        * std::clamp(m_correction + loadGain * (m_fullLoad - m_load), minCorrection, maxCorrection);
     m_heavy.clear();
     m_others = {};
     if (m_offeredWork <= m_capacity || m_capacity <= 0)
@@ -97,6 +99,14 @@
     m_others = shareOut(othersWork, std::max(0.0, othersCapacity));
 }
 
+double overload_control::fullLoad(const work_total& total, const service_room& room)
+{
+    const double least = noticeableShare * total.work();
+    const auto urgencies
+        = std::ranges::count_if(total.byUrgency, [least](double work) { return work > least; });
+    return 1 + (urgencies > 1 ? mixedQueueShare : evenQueueShare) * room.patience;
+}
+
 void overload_control::observeLoad(const service_room& room, utils::time_point now)
 {
     if (room.slots <= 0)
@@ -111,7 +121,7 @@
     m_load = kept * m_load + (1 - kept) * load;
     const bool isShort = m_offeredWork > shortageShare * m_capacity;
     const double change
-        = isShort ? correctionPerSecond * (fullLoad - m_load) : (1 - m_correction) / recoverySeconds;
+        = isShort ? correctionPerSecond * (m_fullLoad - m_load) : (1 - m_correction) / recoverySeconds;
     m_correction = std::clamp(m_correction + change * std::min(1.0, seconds), minCorrection, maxCorrection);
 }
 
--- a/src/libs/decisions/overloadcontrol.h
+++ b/src/libs/decisions/overloadcontrol.h
@@ -26,6 +26,7 @@
     double slots = 0; ///< of all servers that may get requests
     double requests = 0; ///< of all nodes, in progress there
     std::size_t livePeers = 0; ///< other nodes that send requests to the service
+    double patience = 1; ///< time within which answers should begin, as a multiple of the work of a request
 };
 
 /// What bounds the share of requests that are admitted.
@@ -75,9 +76,11 @@
     /// Bounds of that change, as factors.
     static constexpr double minWorkFactor = 0.65;
     static constexpr double maxWorkFactor = 1.2;
-    /// Requests in progress, as a multiple of the slots, that keep all slots in use although nodes do not
-    /// fill the servers evenly.
-    static constexpr double fullLoad = 1.4;
+    /// Wait in the queues of the servers that keeps all slots in use although nodes do not fill the servers
+    /// evenly, as a fraction of the time within which answers should begin; with requests of several
+    /// urgencies, of which the less urgent wait longer, and of one.
+    static constexpr double mixedQueueShare = 0.22;
+    static constexpr double evenQueueShare = 0.7;
     /// Change of the capacity for a load off by one times the slots: at once, and for each second that it
     /// lasts.
     static constexpr double loadGain = 0.6;
@@ -125,6 +128,8 @@
     };
 
     void observeLoad(const service_room& room, utils::time_point now);
+    /// Requests in progress, as a multiple of the slots, that the servers should have.
+    static double fullLoad(const work_total& total, const service_room& room);
     static even_part evenPart(const work_total& total, double capacity);
     /// Shares the capacity out by urgency. `work`: offered by urgency.
     group_shares shareOut(const urgency_values& work, double capacity) const;
@@ -134,6 +139,7 @@
     urgency_values m_work {}; ///< slot seconds of requests at this node, decayed by request
     urgency_values m_requests {};
     double m_correction = 1; ///< of the capacity
+    double m_fullLoad = 1; ///< requests in progress that servers should have, as a multiple of the slots
     double m_load = 0; ///< requests in progress as a multiple of the slots, smoothed
     double m_offeredWork = 0; ///< by all nodes, slot seconds a second
     double m_capacity = 0;
--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -91,7 +91,7 @@
         // While there are free slots, running requests cost only the risk that other nodes send there too.
         double cost = load.requests / candidate.weight;
         if (load.requests >= candidate.slots)
-            cost += candidate.slots * candidate.slowdown;
+            cost += candidate.slots;
         cost += slownessCost * (candidate.slowdown - 1);
         if (candidate.dataCentre != query.dataCentre)
             cost += crossDataCentreCost;
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -117,7 +117,7 @@
     /// worse.
     static constexpr double failureCost = 1.5;
     /// For a plain service: cost of work that takes twice its usual time, in running requests.
-    static constexpr double slownessCost = 3;
+    static constexpr double slownessCost = 2;
     /// Cost of a recent failure of an engine, as a fraction of the target. All penalties of an engine
     /// together are at most `maxPenalty`.
     static constexpr double penaltyPerFailure = 0.03;
--- a/src/libs/gateway/requests/attempttracker.cpp
+++ b/src/libs/gateway/requests/attempttracker.cpp
@@ -135,7 +135,7 @@
     if (!isShort) {
         if (m_firstEventAt == utils::time_point())
             return;
-        learnWork(now - m_firstEventAt, now);
+        m_context.workOf(m_plan.service).record(m_plan.route->name, m_plan.outputHint, now - m_firstEventAt);
         times.recordOccupancy(
             queueUrgency(m_plan), now - m_firstEventAt + times.forecast(m_unreadTokens).prefill);
         return;
@@ -143,18 +143,10 @@
     if (!m_hasSlot)
         return;
     times.recordFirstByte(0, now - m_sentAt);
-    learnWork(now - m_sentAt, now);
+    m_context.workOf(m_plan.service).record(m_plan.route->name, m_plan.outputHint, now - m_sentAt);
     times.recordOccupancy(queueUrgency(m_plan), now - m_sentAt);
 }
 
-void attempt_tracker::learnWork(utils::duration work, utils::time_point now)
-{
-    decisions::request_work& known = m_context.workOf(m_plan.service);
-    const double expected = known.forecast(m_plan.route->name, m_plan.outputHint);
-    m_context.pace.finished(m_server, utils::fromSeconds(expected), work, now);
-    known.record(m_plan.route->name, m_plan.outputHint, work);
-}
-
 utils::duration attempt_tracker::silentFor(utils::time_point now) const
 {
     return m_lastReceivedAt == utils::time_point() ? utils::duration::zero() : now - m_lastReceivedAt;
--- a/src/libs/gateway/requests/attempttracker.h
+++ b/src/libs/gateway/requests/attempttracker.h
@@ -61,8 +61,6 @@
     void recordSound(utils::time_point beganAt, utils::time_point now);
     /// Learns from a complete response how long requests of its kind occupy a slot.
     void learnOccupancy(bool isShort, utils::time_point now);
-    /// The same for its kind, and how slow the server is at present.
-    void learnWork(utils::duration work, utils::time_point now);
     /// How long the request may wait for a slot by what is known now: requests that came later, and are more
     /// urgent, go before it. Zero if the server had a free slot when it was sent.
     utils::duration queueTime(utils::time_point now) const;
--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -342,10 +342,13 @@
 namespace {
 
 /// The room of a service: the slots and the load of the servers that may get requests of this node.
-decisions::service_room roomOf(node_context& context, const std::string& service, utils::time_point now)
+decisions::service_room roomOf(node_context& context, const request_plan& plan, utils::time_point now)
 {
+    const std::string& service = plan.service;
     decisions::service_room room;
     room.livePeers = context.peerCount;
+    room.patience
+        = utils::toSeconds(plan.route->targetLatency) / context.responseTimesOf(service).occupancySeconds();
     const double unheard = context.loads.peerScale(now) - 1;
     for (const catalogue::backend_server* server : context.servers.usable(service)) {
         if (context.health.weight(service, server->id, now) <= 0 || context.isResting(*server, now))
@@ -401,7 +404,7 @@
     shedder.recordTarget(plan.urgency, plan.route->targetLatency);
     decisions::overload_control& control = context.overload[plan.service];
     if (control.isDue(now))
-        control.update(roomOf(context, plan.service, now), now);
+        control.update(roomOf(context, plan, now), now);
     const overload_forecast forecast = forecastOverload(context, request, plan, chosen, now);
     control.record(workOf(plan, forecast), now);
     // The rest of a stream that has begun costs its caller more than a new request.
--- a/tests/auto/decisions/overloadhistory.h
+++ b/tests/auto/decisions/overloadhistory.h
@@ -323,6 +323,7 @@
     {
         decisions::service_room room;
         room.livePeers = m_history.nodes - 1;
+        room.patience = m_history.kinds.front().target / node.times.occupancySeconds();
         const double scale = node.loads.peerScale(now());
         for (const auto& candidate : m_candidates) {
             if (candidate.weight <= 0)
