--- a/src/libs/decisions/loadshedding.cpp
+++ b/src/libs/decisions/loadshedding.cpp
@@ -36,10 +36,10 @@
         return false;
     if (query.expectedAnswer + query.loopDelay >= query.timeLeft)
         return true;
-    if (query.hasShare && query.loopDelay <= utils::duration::zero())
-        return false;
     const utils::duration limit = limitFor(query.urgency, query.target);
-    const utils::duration wait = query.loopDelay + (waitsForSlot ? query.queueing : utils::duration::zero());
+    const utils::duration queueing
+        = waitsForSlot && !query.hasShare ? query.queueing : utils::duration::zero();
+    const utils::duration wait = query.loopDelay + queueing;
     const double fill = utils::toSeconds(wait) / utils::toSeconds(limit);
     return fill >= rampBegin + (rampEnd - rampBegin) * utils::toUnitInterval(query.hash);
 }
@@ -58,6 +58,16 @@
     return refusal { kind, spreadRetryAfter(pause, pause, query.hash) };
 }
 
+std::optional<utils::duration> load_shedder::shortestTarget() const
+{
+    std::optional<utils::duration> shortest;
+    for (const utils::duration target : m_targets) {
+        if (target > utils::duration::zero())
+            shortest = std::min(shortest.value_or(target), target);
+    }
+    return shortest;
+}
+
 refusal load_shedder::refuse(std::uint64_t hash, utils::time_point now)
 {
     decayCounts(now);
@@ -68,7 +78,8 @@
 
 utils::duration load_shedder::backlogTime() const
 {
-    return utils::fromSeconds(utils::toSeconds(countDecayTime) * m_refused / std::max(1.0, m_admitted));
+    const double ratio = m_refused / std::max(1.0, m_admitted);
+    return std::min(maxRetryAfter, utils::fromSeconds(utils::toSeconds(countDecayTime) * ratio));
 }
 
 void load_shedder::decayCounts(utils::time_point now)
--- a/src/libs/decisions/loadshedding.h
+++ b/src/libs/decisions/loadshedding.h
@@ -20,7 +20,7 @@
     utils::duration target {}; ///< time within which the answer should begin
     utils::duration timeLeft {}; ///< until the caller gives up
     int urgency = 0; ///< 0 is the most urgent
-    bool hasShare = false; ///< admitted as one of a share, see overload_control: only its deadline counts
+    bool hasShare = false; ///< the room is shared out, see overload_control: the queue has no limit
     std::uint64_t hash = 0; ///< of the request
 };
 
@@ -47,8 +47,9 @@
     /// Multiples of the limit between which the share of refused requests grows from none to all.
     static constexpr double rampBegin = 0.7;
     static constexpr double rampEnd = 1.3;
-    /// Smallest Retry-After.
+    /// Smallest and largest Retry-After, before it is spread.
     static constexpr utils::duration minRetryAfter = std::chrono::milliseconds(300);
+    static constexpr utils::duration maxRetryAfter = std::chrono::seconds(30);
     /// Time constant of the exponential decay of the counts of admitted and refused requests.
     static constexpr utils::duration countDecayTime = std::chrono::seconds(5);
 
@@ -56,6 +57,8 @@
     void recordTarget(int urgency, utils::duration target);
     /// Returns nothing if the request is admitted.
     std::optional<refusal> decide(const shed_query& query, utils::time_point now);
+    /// The shortest recorded target; nothing before the first.
+    std::optional<utils::duration> shortestTarget() const;
     /// Counts a request that is refused for another reason than its wait, and returns the refusal.
     refusal refuse(std::uint64_t hash, utils::time_point now);
     /// Whether a request would wait too long.
--- a/src/libs/decisions/offeredwork.cpp
+++ b/src/libs/decisions/offeredwork.cpp
@@ -10,6 +10,8 @@
 
 // Below this rate a workspace is forgotten, in slot seconds a second.
 constexpr double negligibleWork = 1e-4;
+// Callers of a node that offer less have left, in slot seconds a second.
+constexpr double noticeableWork = 0.05;
 constexpr utils::duration expiryInterval = std::chrono::seconds(1);
 
 double sumOf(const std::array<double, urgencyLevels>& values)
@@ -56,7 +58,18 @@
 void offered_work::updatePeer(
     const utils::node_id& peer, const offered_work_update& update, utils::time_point now)
 {
-    m_peers[peer] = { update, now };
+    expire(now);
+    peer_state& state = m_peers[peer];
+    state = { update, now };
+    if (state.update.heaviest.size() > maxHeaviest)
+        state.update.heaviest.resize(maxHeaviest);
+}
+
+bool offered_work::hasHeard(utils::time_point now) const
+{
+    return std::ranges::any_of(m_peers, [now](const auto& entry) {
+        return now - entry.second.at <= peerLifetime && sumOf(entry.second.update.byUrgency) > noticeableWork;
+    });
 }
 
 offered_work_update offered_work::update(utils::time_point now)
@@ -109,16 +122,19 @@
     return total;
 }
 
-std::array<double, urgencyLevels> offered_work::sharesByUrgency(
+std::optional<std::array<double, urgencyLevels>> offered_work::sharesByUrgency(
     std::uint64_t workspace, utils::time_point now)
 {
     const auto found = m_workspaces.find(workspace);
-    decaying_rates& rates = found == m_workspaces.end() ? m_all : found->second;
-    decay(rates, now);
-    std::array<double, urgencyLevels> shares = rates.work;
-    const double sum = rates.sum();
+    if (found == m_workspaces.end())
+        return std::nullopt;
+    decay(found->second, now);
+    std::array<double, urgencyLevels> shares = found->second.work;
+    const double sum = found->second.sum();
+    if (sum <= 0)
+        return std::nullopt;
     for (double& share : shares)
-        share = sum > 0 ? share / sum : 0;
+        share /= sum;
     return shares;
 }
 
--- a/src/libs/decisions/offeredwork.h
+++ b/src/libs/decisions/offeredwork.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -58,16 +59,19 @@
 
     /// Records a request on arrival. `work`: slot seconds that it is expected to take.
     void record(std::uint64_t workspace, int urgency, double work, utils::time_point now);
-    /// Replaces what a peer has told.
+    /// Replaces what a peer has told; of more than `maxHeaviest` workspaces the first ones count.
     void updatePeer(const utils::node_id& peer, const offered_work_update& update, utils::time_point now);
+    /// Whether a peer has told lately that its callers offer something.
+    bool hasHeard(utils::time_point now) const;
     /// Returns the message to peers.
     offered_work_update update(utils::time_point now);
     /// Returns the sum over all nodes. `livePeers`: those that may have told something; the work of those
     /// that were not heard lately is taken as that of the others in the mean.
     work_total total(std::size_t livePeers, utils::time_point now);
-    /// Shares of the urgencies in the work of a workspace at this node; of all workspaces if it is not told
-    /// apart. Sum: 1, or 0 without any work.
-    std::array<double, urgencyLevels> sharesByUrgency(std::uint64_t workspace, utils::time_point now);
+    /// Shares of the urgencies in the work of a workspace at this node, with the sum 1; nothing if it has
+    /// none here, or is not told apart.
+    std::optional<std::array<double, urgencyLevels>> sharesByUrgency(
+        std::uint64_t workspace, utils::time_point now);
 
 private:
     struct decaying_rates {
--- a/src/libs/decisions/overloadcontrol.cpp
+++ b/src/libs/decisions/overloadcontrol.cpp
@@ -17,13 +17,15 @@
     "urgency", "workspace" };
 constexpr double meanDecay = 1 - 1.0 / 256; // per request, of the mean work of its urgency
 constexpr utils::duration loadSmoothing = std::chrono::milliseconds(100);
+constexpr utils::duration sharesLifetime = std::chrono::seconds(1);
+constexpr double maxPatience = 6; // longer queues fill in seconds what they take minutes to give back
 constexpr double shortageShare = 0.9; // of the capacity, offered
 constexpr double recoverySeconds = 5; // of the corrected capacity, without a shortage
 constexpr double negligibleWork = 1e-6; // slot seconds a second
 constexpr double noticeableShare = 0.02; // of all work, by one urgency
 constexpr double negligibleShare = 1e-9; // rounding
 constexpr double partTolerance = 0.1; // of the even part, for the error of measured rates
-constexpr int shareRounds = 6; // the least share depends on the shares of all urgencies
+constexpr int shareRounds = 20; // halvings of the interval in which the least share lies
 
 double sumOf(const std::array<double, urgencyLevels>& values)
 {
@@ -49,21 +51,28 @@
 {
     const auto heavy = m_heavy.find(query.workspace);
     const group_shares& group = heavy == m_heavy.end() ? m_others : heavy->second;
-    admission_share result { 1, admission_bound::None, m_offeredWork, m_capacity };
+    admission_share result { 1, admission_bound::None, false, m_offeredWork, m_capacity };
     if (!group.isBound)
         return result;
-    const std::size_t urgency = urgencyIndex(query.urgency);
-    const double mean = meanWork(urgency);
-    const double relative = mean > 0 ? query.work / mean : 1;
-    const double exponent = std::clamp(relative, minWorkExponent, maxWorkExponent);
-    const double usual = group.byUrgency[urgency];
-    result.share
-        = std::clamp(std::pow(usual, exponent), minWorkFactor * usual, std::min(1.0, maxWorkFactor * usual));
+    result.isShared = true;
+    result.share = shareFor(group, urgencyIndex(query.urgency), query.work);
     if (result.share < 1)
         result.bound = heavy == m_heavy.end() ? admission_bound::Urgency : admission_bound::Workspace;
     return result;
 }
 
+double overload_control::shareFor(const group_shares& group, std::size_t urgency, double work) const
+{
+    const urgency_values& shares = group.byUrgency;
+    const double usual = shares[urgency];
+    // Halfway to the neighbours: no request gets more than one that is more urgent, whatever their work.
+    const double least = urgency + 1 < shares.size() ? (usual + shares[urgency + 1]) / 2 : 0;
+    const double most = urgency > 0 ? (usual + shares[urgency - 1]) / 2 : 1;
+    const double exponent = std::clamp(work / meanWork(urgency), minWorkExponent, maxWorkExponent);
+    return std::clamp(std::pow(usual, exponent), std::max(least, minWorkFactor * usual),
+        std::min(most, maxWorkFactor * usual));
+}
+
 bool overload_control::isAdmitted(const admission_share& share, std::uint64_t hash)
 {
     return share.share >= 1 || utils::toUnitInterval(hash) < share.share;
@@ -80,17 +89,20 @@
         * std::clamp(m_correction + loadGain * (m_fullLoad - m_load), minCorrection, maxCorrection);
     m_heavy.clear();
     m_others = {};
-    if (m_offeredWork <= m_capacity || m_capacity <= 0)
+    const bool isShort = m_offeredWork > std::max(m_capacity, shortageSlots * room.slots);
+    if (!isShort || m_load < idleLoad || m_capacity <= 0)
         return;
     const even_part part = evenPart(total, m_capacity);
     urgency_values othersWork = total.byUrgency;
     double othersCapacity = m_capacity;
     for (const auto& [workspace, work] : total.byWorkspace) {
-        if (work <= part.heavyWork)
+        if (work <= part.heavyWork || workspace == 0)
             continue;
-        urgency_values byUrgency = m_offered.sharesByUrgency(workspace, now);
+        const auto known = m_offered.sharesByUrgency(workspace, now);
+        urgency_values byUrgency = known.value_or(total.byUrgency);
+        const double scale = known ? 1 : 1 / total.work();
         for (std::size_t i = 0; i < byUrgency.size(); ++i) {
-            byUrgency[i] *= work;
+            byUrgency[i] *= scale * work;
             othersWork[i] = std::max(0.0, othersWork[i] - byUrgency[i]);
         }
         m_heavy[workspace] = shareOut(byUrgency, part.work);
@@ -99,12 +111,21 @@
     m_others = shareOut(othersWork, std::max(0.0, othersCapacity));
 }
 
+void overload_control::expire(utils::time_point now)
+{
+    if (now - m_updatedAt < sharesLifetime)
+        return;
+    m_offeredWork = 0;
+    m_heavy.clear();
+    m_others = {};
+}
+
 double overload_control::fullLoad(const work_total& total, const service_room& room)
 {
     const double least = noticeableShare * total.work();
     const auto urgencies
         = std::ranges::count_if(total.byUrgency, [least](double work) { return work > least; });
-    return 1 + (urgencies > 1 ? mixedQueueShare : evenQueueShare) * room.patience;
+    return 1 + (urgencies > 1 ? mixedQueueShare : evenQueueShare) * std::min(room.patience, maxPatience);
 }
 
 void overload_control::observeLoad(const service_room& room, utils::time_point now)
@@ -161,30 +182,41 @@
     group.isBound = true;
     urgency_values requests {};
     for (std::size_t i = 0; i < work.size(); ++i)
-        requests[i] = meanWork(i) > 0 ? work[i] / meanWork(i) : 0;
+        requests[i] = work[i] / meanWork(i);
     const double allRequests = sumOf(requests);
-    double least = leastShare * capacity / offered;
+    double low = 0;
+    double high = capacity / offered;
     for (int round = 0; round < shareRounds; ++round) {
-        double left = std::max(0.0, capacity - least * offered);
-        double admitted = 0;
-        for (std::size_t i = 0; i < work.size(); ++i) {
-            // Urgencies of which nothing is offered here get what a small offer would.
-            const double wanted = std::max(work[i], negligibleWork);
-            const double more = std::min(1 - least, left / wanted);
-            left = std::max(0.0, left - more * work[i]);
-            group.byUrgency[i] = least + more;
-            admitted += group.byUrgency[i] * requests[i];
-        }
-        if (allRequests <= 0)
-            break;
-        least = std::min(leastShare * admitted / allRequests, capacity / offered);
+        const double least = (low + high) / 2;
+        const urgency_values shares = sharesAbove(least, work, capacity);
+        const double admitted = std::inner_product(shares.begin(), shares.end(), requests.begin(), 0.0);
+        (least < leastShare * admitted / allRequests ? low : high) = least;
     }
+    group.byUrgency = sharesAbove(low, work, capacity);
     return group;
 }
 
+overload_control::urgency_values overload_control::sharesAbove(
+    double least, const urgency_values& work, double capacity)
+{
+    urgency_values shares {};
+    double left = std::max(0.0, capacity - least * sumOf(work));
+    for (std::size_t i = 0; i < work.size(); ++i) {
+        // Urgencies of which nothing is offered here get what a small offer would.
+        const double more = std::min(1 - least, left / std::max(work[i], negligibleWork));
+        left = std::max(0.0, left - more * work[i]);
+        shares[i] = least + more;
+    }
+    return shares;
+}
+
 double overload_control::meanWork(std::size_t urgency) const
 {
-    return m_requests[urgency] > 0 ? m_work[urgency] / m_requests[urgency] : 0;
+    if (m_requests[urgency] > 0 && m_work[urgency] > 0)
+        return m_work[urgency] / m_requests[urgency];
+    // Only other nodes have seen such requests.
+    const double requests = sumOf(m_requests);
+    return requests > 0 && sumOf(m_work) > 0 ? sumOf(m_work) / requests : 1;
 }
 
 } // namespace decisions
--- a/src/libs/decisions/overloadcontrol.h
+++ b/src/libs/decisions/overloadcontrol.h
@@ -15,7 +15,7 @@
 
 /// A request of which it is decided whether it is admitted.
 struct work_query {
-    std::uint64_t workspace = 0; ///< hash of the workspace's name; 0: none
+    std::uint64_t workspace = 0; ///< hash of the workspace's name; 0: none, which is never bound to a part
     int urgency = 0; ///< 0 is the most urgent
     double work = 0; ///< slot seconds that it is expected to take
     std::uint64_t hash = 0; ///< of the request
@@ -44,6 +44,7 @@
 struct admission_share {
     double share = 1; ///< 0 to 1
     admission_bound bound = admission_bound::None;
+    bool isShared = false; ///< the room is shared out, also where all requests like this one are admitted
     double offered = 0; ///< slot seconds a second, of all nodes
     double capacity = 0; ///< slot seconds a second
 };
@@ -87,9 +88,16 @@
     static constexpr double correctionPerSecond = 0.2;
     static constexpr double minCorrection = 0.5;
     static constexpr double maxCorrection = 1.5;
+    /// Less offered work than this fraction of the slots is no shortage, however long the queues are: those
+    /// shrink by themselves, and a late answer is better than none.
+    static constexpr double shortageSlots = 0.85;
+    /// The same where fewer requests are in progress than this fraction of the slots, whatever is offered.
+    static constexpr double idleLoad = 0.55;
     /// Interval at which the shares are computed anew.
     static constexpr utils::duration updateInterval = std::chrono::milliseconds(100);
 
+    /// Forgets the shares if they were not computed for long: nobody offers anything any more.
+    void expire(utils::time_point now);
     /// Records a request on arrival, before it is decided on, and also if it is not.
     void record(const work_query& query, utils::time_point now);
     /// Whether the shares are so old that update() should be called before they are asked for.
@@ -133,7 +141,10 @@
     static even_part evenPart(const work_total& total, double capacity);
     /// Shares the capacity out by urgency. `work`: offered by urgency.
     group_shares shareOut(const urgency_values& work, double capacity) const;
+    /// The shares by urgency if each gets at least `least`, and what is left goes to the more urgent ones.
+    static urgency_values sharesAbove(double least, const urgency_values& work, double capacity);
     double meanWork(std::size_t urgency) const;
+    double shareFor(const group_shares& group, std::size_t urgency, double work) const;
 
     offered_work m_offered;
     urgency_values m_work {}; ///< slot seconds of requests at this node, decayed by request
--- a/src/libs/decisions/serverpace.cpp
+++ b/src/libs/decisions/serverpace.cpp
@@ -13,6 +13,8 @@
 
 void server_pace::reported(const utils::server_id& server, double slowdown, utils::time_point now)
 {
+    if (!std::isfinite(slowdown))
+        return;
     m_servers[server] = { std::clamp(slowdown, minSlowdown, maxSlowdown), now };
 }
 
--- a/src/libs/gateway/load/workmessage.cpp
+++ b/src/libs/gateway/load/workmessage.cpp
@@ -26,6 +26,8 @@
 std::string encodeWork(
     const std::string& node, const std::string& service, const decisions::offered_work_update& update)
 {
+    if (node.size() + service.size() >= work_message::firstByte)
+        return {};
     work_message message { node, service, {}, {}, update.otherWorkspaces };
     for (std::size_t i = 0; i < update.byUrgency.size(); ++i) {
         if (update.byUrgency[i] > 0)
--- a/src/libs/gateway/load/workmessage.h
+++ b/src/libs/gateway/load/workmessage.h
@@ -52,7 +52,8 @@
 
 /// How workspaces are named between nodes; 0: none. Thread safe.
 std::uint32_t workspaceHash(const std::string& name);
-/// The datagram with as many of the heaviest workspaces as it has room for. Thread safe.
+/// The datagram with as many of the heaviest workspaces as it has room for; empty if the names alone are too
+/// long. Thread safe.
 std::string encodeWork(
     const std::string& node, const std::string& service, const decisions::offered_work_update& update);
 /// The inverse; values that are no sensible work count as none. Thread safe.
--- a/src/libs/gateway/requests/attempttracker.cpp
+++ b/src/libs/gateway/requests/attempttracker.cpp
@@ -166,10 +166,11 @@
 utils::duration attempt_tracker::queueTime(utils::time_point now) const
 {
     const catalogue::backend_server* server = m_context.servers.find(m_server);
-    if (!m_isPromptPending || m_hasSlot || server == nullptr)
+    // Plain services take requests in the order of their arrival: those that come later change nothing.
+    if (!m_plan.isEngine || !m_isPromptPending || m_hasSlot || server == nullptr)
         return utils::duration::zero();
-    const std::uint32_t requests = m_context.loads.total(m_server, now).requests;
-    return 2 * m_context.slotWait(m_plan.service, *server, requests, queueUrgency(m_plan), now);
+    const std::uint32_t others = std::max(1U, m_context.loads.total(m_server, now).requests) - 1;
+    return 2 * m_context.slotWait(m_plan.service, *server, others, queueUrgency(m_plan), now);
 }
 
 } // namespace gateway
--- a/src/libs/gateway/requests/choiceexplanation.cpp
+++ b/src/libs/gateway/requests/choiceexplanation.cpp
@@ -6,6 +6,7 @@
 #include <boost/url/parse_query.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdio>
 #include <tuple>
@@ -124,12 +125,13 @@
     std::ranges::stable_sort(servers, {}, rank);
 }
 
-void decideEnd(
-    choice_explanation& explanation, const std::optional<decisions::placement>& chosen, std::uint64_t hash)
+void decideEnd(choice_explanation& explanation, const std::optional<decisions::placement>& chosen,
+    std::optional<utils::time_point> restEnd, utils::time_point now)
 {
     if (!chosen) {
-        explanation.end = utils::answerFor(error_kind::NoServer).name;
-        explanation.retryAfter = retryAfterFor(error_kind::NoServer, hash);
+        explanation.end = utils::answerFor(restEnd ? error_kind::QueueFull : error_kind::NoServer).name;
+        if (restEnd)
+            explanation.retryAfter = *restEnd - now;
         return;
     }
     const overload_forecast& forecast = *explanation.overload;
@@ -238,14 +240,22 @@
     choice_trace trace;
     const std::set<utils::server_id> tried;
     const std::uint64_t salt = context.nextRequestNumber * 31;
-    const auto chosen = chooseServer(context, plan, { tried, std::nullopt, salt, std::nullopt, &trace }, now);
+    const auto finding = context.crashingParts.check(plan.sharedParts(), now);
+    const bool isSuspect = finding.verdict == decisions::part_verdict::Suspect;
+    choice_constraints constraints { tried, std::nullopt, salt, std::nullopt, &trace };
+    if (isSuspect)
+        constraints.suspectPart = finding.part;
+    const auto chosen = chooseServer(context, plan, constraints, now);
     if (chosen)
         explanation.overload = forecastOverload(context, request, plan, *chosen, now);
     explanation.servers = describeServers(context, plan, trace, now);
     for (explained_server& server : explanation.servers)
         server.isChosen = chosen && server.id == chosen->server.str();
     sortServers(explanation.servers);
-    decideEnd(explanation, chosen, salt);
+    if (finding.verdict != decisions::part_verdict::Sound && !isSuspect)
+        explanation.end = utils::answerFor(error_kind::RequestCrashesServers).name;
+    else
+        decideEnd(explanation, chosen, earliestRestEnd(context, plan, std::nullopt, now), now);
     return explanation;
 }
 
--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -307,6 +307,8 @@
     };
     if (std::ranges::any_of(candidates, isResponsive))
         std::erase_if(candidates, [&](const auto& candidate) { return !isResponsive(candidate); });
+    else if (constraints.trace != nullptr)
+        constraints.trace->silent.clear();
     decisions::placement_query query { plan.parts, plan.promptTokens, context.options.dataCentre,
         constraints.salt, plan.urgency, plan.route->targetLatency, context.responseTimesOf(plan.service) };
     if (plan.isEngine)
@@ -347,8 +349,9 @@
     const std::string& service = plan.service;
     decisions::service_room room;
     room.livePeers = context.peerCount;
-    room.patience
-        = utils::toSeconds(plan.route->targetLatency) / context.responseTimesOf(service).occupancySeconds();
+    const utils::duration target
+        = context.shedders[service].shortestTarget().value_or(plan.route->targetLatency);
+    room.patience = utils::toSeconds(target) / context.responseTimesOf(service).occupancySeconds();
     const double unheard = context.loads.peerScale(now) - 1;
     for (const catalogue::backend_server* server : context.servers.usable(service)) {
         if (context.health.weight(service, server->id, now) <= 0 || context.isResting(*server, now))
@@ -388,7 +391,7 @@
     forecast.work = utils::toSeconds(times.forecast(unread).prefill)
         + context.workOf(plan.service).forecast(plan.route->name, plan.outputHint);
     forecast.admission = context.overload[plan.service].shareOf(workOf(plan, forecast));
-    query.hasShare = forecast.admission.bound != decisions::admission_bound::None;
+    query.hasShare = forecast.admission.isShared;
     const decisions::load_shedder& shedder = context.shedders[plan.service];
     forecast.limit = shedder.limitFor(query.urgency, query.target);
     forecast.mustWaitTooLong = shedder.mustRefuse(query);
@@ -405,17 +408,21 @@
     decisions::overload_control& control = context.overload[plan.service];
     if (control.isDue(now))
         control.update(roomOf(context, plan, now), now);
-    const overload_forecast forecast = forecastOverload(context, request, plan, chosen, now);
-    control.record(workOf(plan, forecast), now);
-    // The rest of a stream that has begun costs its caller more than a new request.
-    const bool isAdmitted = request.lastEventId
+    overload_forecast forecast = forecastOverload(context, request, plan, chosen, now);
+    // The rest of a stream that has begun, and a request that has been sent before, cost more than a new one.
+    const bool isResumed = plan.route->kind == catalogue::request_kind::Stream && request.lastEventId;
+    const bool isSentBefore = request.hop && request.hop->earlierSent > 0;
+    if (!isSentBefore)
+        control.record(workOf(plan, forecast), now);
+    const bool isAdmitted = isResumed || isSentBefore
         || decisions::overload_control::isAdmitted(forecast.admission, forecast.query.hash);
     const std::optional<decisions::refusal> refusal
         = isAdmitted ? shedder.decide(forecast.query, now) : shedder.refuse(forecast.query.hash, now);
     if (!refusal)
         return std::nullopt;
-    context.metrics.countOverload(
-        plan.service, isAdmitted ? "wait" : decisions::toString(forecast.admission.bound));
+    if (isAdmitted)
+        forecast.admission.bound = decisions::admission_bound::None;
+    context.metrics.countOverload(plan.service, decisions::toString(forecast.admission.bound));
     return overload_refusal { *refusal, forecast };
 }
 
--- a/tests/auto/decisions/tst_loadshedding.cpp
+++ b/tests/auto/decisions/tst_loadshedding.cpp
@@ -196,6 +196,9 @@
     BOOST_TEST(shedder.mustRefuse(query));
     query.hasShare = true;
     BOOST_TEST(!shedder.mustRefuse(query));
+    query.loopDelay = 1us;
+    BOOST_TEST(!shedder.mustRefuse(query));
+    query.loopDelay = 0us;
     query.expectedAnswer = 11s;
     BOOST_TEST(shedder.mustRefuse(query));
 }
