Shares of room at model services only

Cause: plain services queue few requests and take them as they come; shares by workspace turned away payments that would have been served soon. Lint: an unused declaration, a reserve.

--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -390,7 +390,9 @@
     query.hash = utils::hash64(request.requestId);
     forecast.work = utils::toSeconds(times.forecast(unread).prefill)
         + context.workOf(plan.service).forecast(plan.route->name, plan.outputHint);
-    forecast.admission = context.overload[plan.service].shareOf(workOf(plan, forecast));
+    // Plain services have no order of their own, and short queues: what waits there is soon served.
+    if (plan.isEngine)
+        forecast.admission = context.overload[plan.service].shareOf(workOf(plan, forecast));
     query.hasShare = forecast.admission.isShared;
     const decisions::load_shedder& shedder = context.shedders[plan.service];
     forecast.limit = shedder.limitFor(query.urgency, query.target);
@@ -406,13 +408,13 @@
     decisions::load_shedder& shedder = context.shedders[plan.service];
     shedder.recordTarget(plan.urgency, plan.route->targetLatency);
     decisions::overload_control& control = context.overload[plan.service];
-    if (control.isDue(now))
+    if (plan.isEngine && control.isDue(now))
         control.update(roomOf(context, plan, now), now);
     overload_forecast forecast = forecastOverload(context, request, plan, chosen, now);
     // The rest of a stream that has begun, and a request that has been sent before, cost more than a new one.
     const bool isResumed = plan.route->kind == catalogue::request_kind::Stream && request.lastEventId;
     const bool isSentBefore = request.hop && request.hop->earlierSent > 0;
-    if (!isSentBefore)
+    if (plan.isEngine && !isSentBefore)
         control.record(workOf(plan, forecast), now);
     const bool isAdmitted = isResumed || isSentBefore
         || decisions::overload_control::isAdmitted(forecast.admission, forecast.query.hash);
--- a/tests/auto/decisions/tst_overloadcontrol.cpp
+++ b/tests/auto/decisions/tst_overloadcontrol.cpp
@@ -12,7 +12,6 @@
 using decisions::admission_bound;
 using decisions::overload_control;
 using decisions::service_room;
-using decisions::work_query;
 
 namespace {
 
@@ -168,6 +167,7 @@
 {
     overload_control control;
     std::vector<offer> offers { { 1, 0, 0.4, 12 * 0.06 * slots / 0.4 } };
+    offers.reserve(12);
     for (std::uint64_t workspace = 2; workspace <= 12; ++workspace)
         offers.push_back({ workspace, 1, 0.4, 0.06 * slots / 0.4 });
     offerAll(control, offers);
