--- a/src/libs/decisions/overloadcontrol.h
+++ b/src/libs/decisions/overloadcontrol.h
@@ -52,9 +52,9 @@
 /// Decides which share of the requests of a service is admitted while callers offer more work than its
 /// servers can do.
 ///
-/// Load: more work than room at model engines, for seconds or minutes, with long requests of low urgency that hold the slots
-/// for which urgent ones are turned away, and with one workspace that sends many times its usual. What a
-/// request costs when it is refused, per slot second, orders the refusals:
+/// Load: more work than room at model engines, for seconds or minutes, with long requests of low urgency that
+/// hold the slots for which urgent ones are turned away, and with one workspace that sends many times its
+/// usual. What a request costs when it is refused, per slot second, orders the refusals:
 ///  - A workspace that offers far more than its even part of the room is bound to that part; what others
 ///    leave free is shared out, so that no slot stays idle for it.
 ///  - Within that, more urgent requests come first; among equally urgent ones, those that need less work.
