--- a/src/libs/gateway/requests/choiceexplanation.cpp
+++ b/src/libs/gateway/requests/choiceexplanation.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <cstdio>
 #include <tuple>
+#include <unordered_map>
 
 namespace gateway {
 
@@ -90,6 +91,9 @@
 std::vector<explained_server> describeServers(
     node_context& context, const request_plan& plan, const choice_trace& trace, utils::time_point now)
 {
+    std::unordered_map<utils::server_id, const decisions::candidate_cost*> costs;
+    for (const decisions::candidate_cost& cost : trace.costs)
+        costs.emplace(cost.candidate.id, &cost);
     std::vector<explained_server> servers;
     for (const catalogue::backend_server* server : context.servers.present(plan.service)) {
         explained_server entry;
@@ -103,12 +107,11 @@
         entry.slowdown = context.pace.slowdown(server->id, now);
         entry.paceAge = context.pace.age(server->id, now);
         entry.recentFailures = context.failures.countAt(server->id, now);
-        const auto cost = std::ranges::find_if(
-            trace.costs, [&](const auto& known) { return known.candidate.id == server->id; });
-        if (cost != trace.costs.end()) {
-            entry.cost = cost->cost;
-            entry.heldTokens = cost->heldTokens;
-            entry.isInBound = cost->isInBound;
+        const auto cost = costs.find(server->id);
+        if (cost != costs.end()) {
+            entry.cost = cost->second->cost;
+            entry.heldTokens = cost->second->heldTokens;
+            entry.isInBound = cost->second->isInBound;
         } else if (entry.state == eligibleState) {
             entry.state = "others_preferred";
         }
