--- a/src/libs/decisions/overloadcontrol.cpp
+++ b/src/libs/decisions/overloadcontrol.cpp
@@ -18,7 +18,7 @@
 constexpr double meanDecay = 1 - 1.0 / 256; // per request, of the mean work of its urgency
 constexpr utils::duration loadSmoothing = std::chrono::milliseconds(100);
 constexpr utils::duration sharesLifetime = std::chrono::seconds(1);
-constexpr double maxPatience = 6; // longer queues fill in seconds what they take minutes to give back
+constexpr double maxPatience = 6; // as a multiple of the work of a request; bounds the queues of short ones
 constexpr double shortageShare = 0.9; // of the capacity, offered
 constexpr double recoverySeconds = 5; // of the corrected capacity, without a shortage
 constexpr double negligibleWork = 1e-6; // slot seconds a second
@@ -69,8 +69,10 @@
     const double least = urgency + 1 < shares.size() ? (usual + shares[urgency + 1]) / 2 : 0;
     const double most = urgency > 0 ? (usual + shares[urgency - 1]) / 2 : 1;
     const double exponent = std::clamp(work / meanWork(urgency), minWorkExponent, maxWorkExponent);
-    return std::clamp(std::pow(usual, exponent), std::max(least, minWorkFactor * usual),
-        std::min(most, maxWorkFactor * usual));
+    const double low = std::max(least, minWorkFactor * usual);
+    const double high = std::min(most, maxWorkFactor * usual);
+    // Rounding may leave the bounds of equal shares in the wrong order.
+    return std::clamp(std::pow(usual, exponent), low, std::max(low, high));
 }
 
 bool overload_control::isAdmitted(const admission_share& share, std::uint64_t hash)
