--- a/tests/auto/decisions/tst_overloadcontrol.cpp
+++ b/tests/auto/decisions/tst_overloadcontrol.cpp
@@ -80,6 +80,7 @@
     std::uniform_real_distribution<double> load(0.2, 4);
     for (int history = 0; history < 200; ++history) {
         std::vector<offer> offers;
+        offers.reserve(3);
         for (int urgency = 0; urgency < 3; ++urgency) {
             const double work = 0.1 + load(random);
             offers.push_back({ 1, urgency, work, load(random) * slots / work / 3 });
@@ -132,6 +133,7 @@
     std::uniform_real_distribution<double> load(0.3, 2);
     for (int history = 0; history < 100; ++history) {
         std::vector<offer> offers;
+        offers.reserve(4);
         for (int urgency = 0; urgency < 4; ++urgency)
             offers.push_back({ 1, urgency, load(random), load(random) * slots / 4 });
         overload_control control;
