--- a/tests/auto/decisions/overloadhistory.h
+++ b/tests/auto/decisions/overloadhistory.h
@@ -55,8 +55,6 @@
         { 1, 4, 0.3, 1 },
         { 2, 2, 1.45, 1 },
     };
-    /// Multiple of the usual time that work takes at a server at a moment.
-    std::function<double(unsigned server, double at)> slowdown {};
     /// Servers out of use from then on.
     double lossAt = 1e9;
     unsigned lost = 0;
@@ -450,8 +448,7 @@
 
     void start(const request_ptr& one, unsigned index)
     {
-        const double slowdown = m_history.slowdown ? m_history.slowdown(index, m_now) : 1;
-        const double work = one->work * slowdown;
+        const double work = one->work;
         const bool isInTime = m_now + wayToNode - one->arrivedAt <= kindOf(*one).target;
         schedule(m_now + work, [this, one, index, work, isInTime] {
             --m_servers[index].running;
