Log a lost attempt that counts against no request

Cause: server_crashed names the losses that count; those that do not, since the node is cut off, the server lives or was down before, left no line, so that two hypotheses of the incident could not be told apart. Change: loss_not_counted with its reason.

--- a/src/libs/gateway/peers/crashdirectory.cpp
+++ b/src/libs/gateway/peers/crashdirectory.cpp
@@ -46,11 +46,16 @@
 boost::asio::awaitable<void> crash_directory::attemptLost(lost_attempt attempt)
 {
     // The loss of this node's own path is no failure of the server.
-    if (attempt.hasAnswer || m_context.reachability.isCutOff(attempt.service))
+    const bool isCutOff = m_context.reachability.isCutOff(attempt.service);
+    if (attempt.hasAnswer || isCutOff) {
+        logLossNotCounted(attempt, isCutOff ? "cut_off" : "answer_begun");
         co_return;
+    }
     const std::shared_ptr<server_check> checked = co_await check(attempt.server);
-    if (checked->connectError.empty() || wasDown(attempt))
+    if (checked->connectError.empty() || wasDown(attempt)) {
+        logLossNotCounted(attempt, checked->connectError.empty() ? "server_lives" : "server_was_down");
         co_return;
+    }
     const utils::time_point present = now();
     m_context.crashedServers[attempt.server] = { attempt.serverStartedAtMs, present };
     const decisions::crash_key crash = decisions::crashKey(attempt.server.str(), attempt.serverStartedAtMs);
--- a/src/libs/gateway/requests/requestlog.cpp
+++ b/src/libs/gateway/requests/requestlog.cpp
@@ -199,6 +199,13 @@
             { "level", std::to_string(level) }, { "connect", connectError } });
 }
 
+void logLossNotCounted(const lost_attempt& attempt, std::string_view reason)
+{
+    utils::logEvent(utils::event::LossNotCounted,
+        { { "server", attempt.server.str() }, { "service", attempt.service },
+            { "request", attempt.requestId }, { "reason", std::string(reason) } });
+}
+
 void logPartsCleared(const request_plan& plan, const utils::server_id& server, unsigned level)
 {
     utils::logEvent(utils::event::PartCleared,
--- a/src/libs/gateway/requests/requestlog.h
+++ b/src/libs/gateway/requests/requestlog.h
@@ -53,6 +53,8 @@
 /// Logs that a crash counts against the request of an attempt. `level`: the highest one of its parts, see
 /// decisions::part_strike. `connectError`: why the server counts as crashed.
 void logCrash(const lost_attempt& attempt, unsigned level, const std::string& connectError);
+/// Logs that the loss of an attempt counts against no request, and why.
+void logLossNotCounted(const lost_attempt& attempt, std::string_view reason);
 /// Logs that an answer from that server has cleared the shared parts of its prompt. `level`: the highest that
 /// was cleared.
 void logPartsCleared(const request_plan& plan, const utils::server_id& server, unsigned level);
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -70,6 +70,8 @@
         event::ServerLeaves, Info, "server_leaves", "A backend server says in an answer that it leaves" },
     event_info { event::ServerNoticeUnreadable, Warning, "server_notice_unreadable",
         "What a backend server says of itself in an answer cannot be read" },
+    event_info { event::LossNotCounted, Info, "loss_not_counted",
+        "An attempt at a backend server was lost, and counts against no request" },
     event_info { event::PlatformFailure, Warning, "platform_failure", "A call to the platform failed" },
     event_info { event::StoreLost, Warning, "store_lost", "The platform's store does not answer" },
     event_info { event::StoreRegained, Info, "store_regained", "The platform's store answers again" },
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -54,6 +54,7 @@
     ServerAsksForRest = 6006,
     ServerLeaves = 6007,
     ServerNoticeUnreadable = 6008,
+    LossNotCounted = 6009,
     PlatformFailure = 7001,
     StoreLost = 7002,
     StoreRegained = 7003,
