--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -96,7 +96,7 @@
         { "zone", described.dataCentre }, { "resourceVersion", described.softwareVersion },
         { "slots", described.slots }, { "state", described.state }, { "coldRemainingMs", described.coldMs },
         { "sequence", 1 }, { "born", described.startedAtMs } };
-    m_store.put("servers/" + replica.id(), json::serialize(entry));
+    m_store.put("servers/" + (described.id.empty() ? replica.id() : described.id), json::serialize(entry));
 }
 
 void gateway_testbed::withdraw(const replica_standin& replica)
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -33,6 +33,7 @@
     std::string softwareVersion = "v1";
     unsigned slots = 8;
     std::uint64_t startedAtMs = 1'700'000'000'000;
+    std::string id {}; ///< empty: the name of the stand-in
 };
 
 /// What a configuration says besides its version.
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -22,7 +22,6 @@
 constexpr auto stallCheckInterval = std::chrono::milliseconds(5);
 // From the arrival of a request that crashes the replica to the crash.
 constexpr auto crashDelay = std::chrono::milliseconds(20);
-constexpr auto downTime = std::chrono::milliseconds(1500);
 constexpr auto pieceInterval = std::chrono::milliseconds(50); // of an answer without end
 constexpr auto portPause = std::chrono::milliseconds(50);
 
@@ -153,6 +152,25 @@
     m_crashAnswer = answer;
 }
 
+void replica_standin::crashOnTargets(std::set<std::string> targets, crash_answer answer)
+{
+    const std::lock_guard lock(m_mutex);
+    m_crashingTargets = std::move(targets);
+    m_crashAnswer = answer;
+}
+
+void replica_standin::setAnswerDelay(std::chrono::milliseconds delay)
+{
+    const std::lock_guard lock(m_mutex);
+    m_answerDelay = delay;
+}
+
+std::chrono::milliseconds replica_standin::answerDelay() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_answerDelay;
+}
+
 void replica_standin::crash()
 {
     boost::asio::post(m_thread.io(), [this] { restart(); });
@@ -166,6 +184,11 @@
 
 bool replica_standin::isCrashing(const replica_request& request) const
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_crashingTargets.contains(request.target))
+            return true;
+    }
     const auto prompt = request.headers.find("lycheefront-prompt-prefix");
     if (prompt == request.headers.end())
         return false;
@@ -266,6 +289,7 @@
         recordRest(index);
     switch (act) {
     case replica_act::Answer:
+        co_await standins_common::pauseFor(answerDelay());
         bytes = head(200, decoded.id, mark) + sized(m_id);
         break;
     case replica_act::Fail:
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -99,8 +99,14 @@
     /// From now on, each request with one of these parts in its prompt, as the first or a middle one, crashes
     /// the replica as its answer begins: it ends with all connections, and is back after a while.
     void crashOn(std::set<std::string> parts, crash_answer answer = crash_answer::None);
+    /// The same for each request with one of these targets, whatever else it holds.
+    void crashOnTargets(std::set<std::string> targets, crash_answer answer = crash_answer::None);
+    /// Time from the arrival of a request to what Answer does.
+    void setAnswerDelay(std::chrono::milliseconds delay);
     /// Ends with all connections as in a crash, and is back after a while.
     void crash();
+    /// How long it is down after a crash.
+    static constexpr std::chrono::milliseconds downTime { 1500 };
     /// When it has crashed.
     std::vector<std::chrono::steady_clock::time_point> crashTimes() const;
     std::size_t crashes() const { return crashTimes().size(); }
@@ -131,9 +137,11 @@
     boost::asio::awaitable<void> whileStalled() const;
     boost::asio::awaitable<bool> streamUnframed(
         standins_common::tcp_socket& socket, const replica_request& request, bool isCut);
-    /// Whether the prompt has one of the crashing parts before its last one.
+    /// Whether the prompt has one of the crashing parts before its last one, or the target is one of those
+    /// that crash it.
     bool isCrashing(const replica_request& request) const;
     crash_answer crashAnswer() const;
+    std::chrono::milliseconds answerDelay() const;
     void restart();
     boost::asio::awaitable<void> comeBack();
     /// Listens at its port again; false if the port is taken.
@@ -155,6 +163,8 @@
     bool m_isLeaving = false;
     unsigned m_abandoned = 0;
     std::set<std::string> m_crashingParts;
+    std::set<std::string> m_crashingTargets;
+    std::chrono::milliseconds m_answerDelay {};
     crash_answer m_crashAnswer = crash_answer::None;
     std::vector<std::chrono::steady_clock::time_point> m_crashTimes;
     std::vector<replica_request> m_requests;
