--- a/tests/auto/gateway/tst_crashingrequests.cpp
+++ b/tests/auto/gateway/tst_crashingrequests.cpp
@@ -17,14 +17,15 @@
 using steady = std::chrono::steady_clock;
 
 constexpr std::size_t servers = 3;
-constexpr std::size_t nodes = 5;
-constexpr unsigned callers = 40; ///< each sends one sound request after the other
-constexpr auto answerTime = 250ms;
-constexpr auto crashingInterval = 300ms; ///< between two tries of a crashing request
-constexpr auto playTime = 9s;
+constexpr std::size_t nodes = 7;
+constexpr unsigned callers = 100; ///< each sends one sound request after the other
+constexpr auto answerTime = 400ms;
+constexpr auto crashingInterval = 500ms; ///< between two tries of a crashing request
+constexpr auto playTime = 13s;
 // From the crash of a server until its entry leaves the store, and until its successor has one.
-constexpr auto entryLifetime = 800ms;
-constexpr auto successorAfter = replica_standin::downTime + 100ms;
+constexpr auto entryLifetime = 1300ms;
+constexpr auto downTime = 3s;
+constexpr auto successorAfter = downTime + 100ms;
 // Nodes have heard of the successors by then, and their connections are open.
 constexpr auto settleTime = 1s;
 constexpr auto newsTime = 3s;
@@ -56,6 +57,8 @@
         configure(1, content);
         for (std::size_t i = 0; i < servers; ++i) {
             press(i).setAnswerDelay(answerTime);
+            press(i).setDownTime(downTime);
+            withdraw(press(i));
             announce(press(i), "press", entryOf(i));
         }
         for (std::size_t i = 0; i < nodes; ++i)
@@ -252,7 +255,7 @@
 // Guards against a crash behind the head of an answer that does not count.
 BOOST_FIXTURE_TEST_CASE(a_request_that_crashes_after_the_head_is_stopped, small_service_testbed)
 {
-    play({ "/look/bad" }, ownTarget, replica_standin::crash_answer::Head);
+    play({ "/look/bad" }, ownTarget, replica_standin::crash_answer::HeadWithLength);
     checkPlay({ "/look/bad" });
 }
 
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -165,6 +165,12 @@
     m_answerDelay = delay;
 }
 
+void replica_standin::setDownTime(std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(m_mutex);
+    m_downTime = time;
+}
+
 std::chrono::milliseconds replica_standin::answerDelay() const
 {
     const std::lock_guard lock(m_mutex);
@@ -218,7 +224,12 @@
 
 boost::asio::awaitable<void> replica_standin::comeBack()
 {
-    co_await standins_common::pauseFor(downTime);
+    std::chrono::milliseconds time {};
+    {
+        const std::lock_guard lock(m_mutex);
+        time = m_downTime;
+    }
+    co_await standins_common::pauseFor(time);
     // An outgoing connection may have the port for a moment.
     while (!tryOpen())
         co_await standins_common::pauseFor(portPause);
@@ -282,6 +293,9 @@
         co_await standins_common::pauseFor(crashDelay);
         if (crashAnswer() == crash_answer::Head)
             co_await standins_common::sendBytes(socket, head(200, decoded.id, mark) + "\r\n");
+        else if (crashAnswer() == crash_answer::HeadWithLength)
+            co_await standins_common::sendBytes(
+                socket, head(200, decoded.id, mark) + "Content-Length: 100\r\n\r\n");
         restart();
         co_return false;
     }
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -94,7 +94,8 @@
     /// How a replica answers a request that crashes it.
     enum class crash_answer {
         None,
-        Head ///< a head of 200 without length or chunks
+        Head, ///< a head of 200 without length or chunks
+        HeadWithLength ///< a head of 200 with the length of a body that does not come
     };
     /// From now on, each request with one of these parts in its prompt, as the first or a middle one, crashes
     /// the replica as its answer begins: it ends with all connections, and is back after a while.
@@ -105,8 +106,8 @@
     void setAnswerDelay(std::chrono::milliseconds delay);
     /// Ends with all connections as in a crash, and is back after a while.
     void crash();
-    /// How long it is down after a crash.
-    static constexpr std::chrono::milliseconds downTime { 1500 };
+    /// How long it is down after a crash, 1.5 s unless set.
+    void setDownTime(std::chrono::milliseconds time);
     /// When it has crashed.
     std::vector<std::chrono::steady_clock::time_point> crashTimes() const;
     std::size_t crashes() const { return crashTimes().size(); }
@@ -165,6 +166,7 @@
     std::set<std::string> m_crashingParts;
     std::set<std::string> m_crashingTargets;
     std::chrono::milliseconds m_answerDelay {};
+    std::chrono::milliseconds m_downTime { 1500 };
     crash_answer m_crashAnswer = crash_answer::None;
     std::vector<std::chrono::steady_clock::time_point> m_crashTimes;
     std::vector<replica_request> m_requests;
