--- a/tests/auto/gateway/tst_replacementsearch.cpp
+++ b/tests/auto/gateway/tst_replacementsearch.cpp
@@ -33,10 +33,11 @@
         plan.service = service;
         plan.route = &route;
         plan.parts = { { 11, 1500 }, { 12, 500 } };
+        plan.suspects = decisions::suspectsOf(plan.sharedParts(), decisions::digestOf("request"));
         for (unsigned i = 1; i <= 2; ++i) {
             const utils::time_point at = now + std::chrono::milliseconds(i);
             context.crashingParts.crashed(
-                decisions::serviceKey(service), plan.sharedParts(), decisions::crashKey("engine", i), at, at);
+                decisions::serviceKey(service), plan.suspects, decisions::crashKey("engine", i), at, at);
         }
     }
 };
