--- a/src/libs/decisions/recentanswers.cpp
+++ b/src/libs/decisions/recentanswers.cpp
@@ -7,10 +7,10 @@
 
 void recent_answers::record(std::uint64_t key, utils::time_point beganAt, utils::time_point now)
 {
+    const utils::time_point known = find(key).value_or(utils::time_point());
     if (m_current.size() >= m_capacity && !m_current.contains(key))
         startGeneration(now);
-    utils::time_point& last = m_current[key];
-    last = std::max(last, std::min(beganAt, now));
+    m_current[key] = std::max(known, std::min(beganAt, now));
 }
 
 std::optional<utils::time_point> recent_answers::find(std::uint64_t key) const
--- a/tests/auto/decisions/tst_undecidedlosses.cpp
+++ b/tests/auto/decisions/tst_undecidedlosses.cpp
@@ -116,6 +116,9 @@
     answers.record(1, at(500ms), at(500ms));
     answers.record(1, at(100ms), at(600ms));
     BOOST_TEST((*answers.find(1) == at(500ms)));
+    answers.expire(at(61s));
+    answers.record(1, at(100ms), at(61s));
+    BOOST_TEST((*answers.find(1) == at(500ms)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
