--- a/review/common/sockets.cpp
+++ b/review/common/sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <atomic>
 #include <cctype>
 #include <cstdlib>
 #include <netinet/tcp.h>
@@ -19,6 +20,8 @@
 constexpr std::size_t readSize = 65536;
 constexpr int backlog = 512;
 
+std::atomic<std::uint64_t> lastNumber = 0; // of a connection
+
 sockaddr_in addressOf(const std::string& ip, std::uint16_t port)
 {
     sockaddr_in address {};
@@ -50,6 +53,7 @@
 
 stream_socket::stream_socket(int descriptor)
     : m_descriptor(descriptor)
+    , m_number(++lastNumber)
 {
     const int on = 1;
     ::setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -62,6 +66,7 @@
 
 stream_socket::stream_socket(stream_socket&& other) noexcept
     : m_descriptor(std::exchange(other.m_descriptor, -1))
+    , m_number(other.m_number)
     , m_received(std::move(other.m_received))
 {
 }
@@ -70,6 +75,7 @@
 {
     close();
     m_descriptor = std::exchange(other.m_descriptor, -1);
+    m_number = other.m_number;
     m_received = std::move(other.m_received);
     return *this;
 }
--- a/review/common/sockets.h
+++ b/review/common/sockets.h
@@ -26,6 +26,8 @@
     static stream_socket connectTo(const std::string& ip, std::uint16_t port);
 
     bool isOpen() const { return m_descriptor >= 0; }
+    /// Differs from that of all other connections of this process.
+    std::uint64_t number() const { return m_number; }
     /// Sends all bytes; false if the connection has ended.
     bool send(const std::string& bytes) const;
     /// Reads up to and without the next line end; nothing at the end of the connection or after `timeout`.
@@ -40,6 +42,7 @@
     bool receive(steady_clock::time_point until);
 
     int m_descriptor = -1;
+    std::uint64_t m_number = 0;
     std::string m_received;
 };
 
