review: crashes under a request are forgotten when all nodes are killed

Cause: crashing_parts::missingRecord() stores convicted requests only. Strikes below a conviction live in the memory of the nodes, so that a request that crashes two replicas in each life of the nodes is never refused.

The store of the stand-ins takes writes under a condition.

--- a/review/3/endlessframing.cpp
+++ b/review/3/endlessframing.cpp
@@ -180,7 +180,7 @@
     for (const auto& replica : replicas)
         store.put(
             "servers/" + replica->id(), replica->entryJson(replica->service() == modelService ? 128 : 6));
-    auto gateway = std::make_unique<gateway_process>(binary, store.address());
+    auto gateway = std::make_unique<gateway_process>(binary, store.address(), placeNodes(1));
     if (!gateway->start()) {
         record.add("the gateway did not become ready");
         gateway.reset();
--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -58,6 +58,19 @@
     return {};
 }
 
+/// The first field of that name in a JSON text whose strings have no escapes; empty if there is none.
+std::string textField(const std::string& json, const std::string& name)
+{
+    const std::string mark = '"' + name + "\":";
+    std::size_t begin = json.find(mark);
+    if (begin == std::string::npos)
+        return {};
+    begin += mark.size();
+    const bool isText = json[begin] == '"';
+    begin += isText ? 1 : 0;
+    return json.substr(begin, json.find_first_of(isText ? "\"" : ",}]", begin) - begin);
+}
+
 } // namespace
 
 bool hasTrouble()
@@ -94,16 +107,19 @@
 void store_standin::put(const std::string& key, const std::string& value)
 {
     const std::lock_guard lock(m_mutex);
-    m_items[key] = { value, ++m_revision };
+    change(key, base64(value));
+}
+
+void store_standin::change(const std::string& key, std::string value)
+{
+    m_items[key] = { std::move(value), ++m_revision };
     m_changed.notify_all();
 }
 
 void store_standin::serve(stream_socket& socket)
 {
     while (const auto request = readMessage(socket, idleTime)) {
-        const std::string& line = request->startLine;
-        const std::size_t begin = line.find(' ') + 1;
-        const auto [status, body] = answer(line.substr(begin, line.rfind(' ') - begin));
+        const auto [status, body] = answer(*request);
         const std::string head = "HTTP/1.1 " + std::to_string(status)
             + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size());
         if (!socket.send(head + "\r\n\r\n" + body))
@@ -114,7 +130,7 @@
 std::string store_standin::itemJson(const std::string& key, const item& stored) const
 {
     const std::string revision = std::to_string(stored.revision);
-    return R"({"key":")" + key + R"(","value":")" + base64(stored.value) + R"(","revision":)" + revision
+    return R"({"key":")" + key + R"(","value":")" + stored.value + R"(","revision":)" + revision
         + R"(,"createRev":)" + revision + R"(,"lease":0,"asOf":)" + std::to_string(m_revision) + '}';
 }
 
@@ -128,8 +144,23 @@
     return items;
 }
 
-std::pair<int, std::string> store_standin::answer(const std::string& target)
+std::pair<int, std::string> store_standin::write(const std::string& transaction)
+{
+    const std::string key = textField(transaction, "key");
+    const std::uint64_t expected = std::strtoull(textField(transaction, "revision").c_str(), nullptr, 10);
+    const auto found = m_items.find(key);
+    const std::uint64_t revision = found == m_items.end() ? 0 : found->second.revision;
+    if (revision != expected)
+        return { 412, R"({"items":[)" + (revision == 0 ? "" : itemJson(key, found->second)) + "]}" };
+    change(key, textField(transaction, "value"));
+    return { 200, R"({"revision":)" + std::to_string(m_revision) + '}' };
+}
+
+std::pair<int, std::string> store_standin::answer(const http_message& request)
 {
+    const std::string& line = request.startLine;
+    const std::size_t begin = line.find(' ') + 1;
+    const std::string target = line.substr(begin, line.rfind(' ') - begin);
     std::unique_lock lock(m_mutex);
     const std::string prefix = parameter(target, "pathPrefix");
     const auto asOf = [this] { return R"(,"asOf":)" + std::to_string(m_revision) + '}'; };
@@ -147,25 +178,28 @@
         return found == m_items.end() ? std::pair(404, std::string("{}"))
                                       : std::pair(200, itemJson(found->first, found->second));
     }
-    // The nodes only keep notes there; a store that is busy takes none.
-    return { 503, "{}" };
+    if (target.starts_with("/-/kv-txn"))
+        return write(request.body);
+    return { 404, "{}" };
 }
 
-replica_standin::replica_standin(const std::string& ip, std::string id, std::string service, handler handle)
+replica_standin::replica_standin(
+    const std::string& ip, std::string id, std::string service, handler handle, std::uint16_t port)
     : m_id(std::move(id))
     , m_service(std::move(service))
     , m_handle(std::move(handle))
-    , m_listener(ip)
+    , m_listener(ip, port)
     , m_address(ip + ':' + std::to_string(m_listener.port()))
 {
     m_listener.start([this](stream_socket& socket) { serve(socket); });
 }
 
-std::string replica_standin::entryJson(unsigned slots) const
+std::string replica_standin::entryJson(unsigned slots, unsigned life) const
 {
     return R"({"backend":")" + m_service + R"(","address":")" + m_address
         + R"(","zone":"zone-a","resourceVersion":"v1","slots":)" + std::to_string(slots)
-        + R"(,"state":"ready","coldRemainingMs":0,"sequence":4,"born":1700000000000})";
+        + R"(,"state":"ready","coldRemainingMs":0,"sequence":4,"born":)"
+        + std::to_string(1700000000000 + life) + '}';
 }
 
 void replica_standin::serve(stream_socket& socket)
@@ -224,26 +258,50 @@
         + tenantName + R"(","apiKeys":[")" + apiKey + R"("],"priority":1}]})";
 }
 
-gateway_process::gateway_process(std::string binary, const std::string& storeAddress)
+std::vector<node_place> placeNodes(unsigned count)
+{
+    constexpr std::uint16_t portsOfNode = 30;
+    std::vector<node_place> nodes;
+    for (unsigned i = 1; i <= count; ++i)
+        nodes.push_back({ "front-zone-a-" + std::to_string(i), loopbackAddress(), 0 });
+    const std::uint16_t port = freePorts(nodes.front().ip, portsOfNode);
+    for (node_place& node : nodes)
+        node.port = port;
+    return nodes;
+}
+
+gateway_process::gateway_process(
+    std::string binary, const std::string& storeAddress, std::vector<node_place> nodes)
     : m_binary(std::move(binary))
-    , m_ip(loopbackAddress())
-    , m_port(freePorts(m_ip, 30))
+    , m_nodes(std::move(nodes))
 {
     char folder[] = "/tmp/review-XXXXXX";
     if (::mkdtemp(folder) == nullptr)
         throw std::runtime_error("no temporary folder");
     m_folder = folder;
     m_settings = m_folder + "/local.toml";
-    const auto at = [this](unsigned offset) { return m_ip + ':' + std::to_string(m_port + offset); };
+    writeSettings(storeAddress);
+}
+
+void gateway_process::writeSettings(const std::string& storeAddress) const
+{
+    const auto at = [](const node_place& node, unsigned offset) {
+        return '"' + node.ip + ':' + std::to_string(node.port + offset) + '"';
+    };
+    const node_place& own = m_nodes.front();
+    std::string seeds;
+    for (const node_place& node : m_nodes)
+        seeds += (seeds.empty() ? "" : ",") + at(node, 2);
     std::ofstream file(m_settings);
-    file << "node = \"front-zone-a-1\"\nrole = \"gateway\"\nmachineClass = \"front\"\n"
-         << "serves = [\"front\",\"control\"]\nip = \"" << m_ip << "\"\nzone = \"zone-a\"\n"
-         << "region = \"baltic-north\"\ninternalPorts = [" << m_port + 10 << ',' << m_port + 25 << "]\n"
-         << "seeds = [\"" << at(2) << "\"]\nbootstrap = true\nlossCounts = false\n"
+    file << "node = \"" << own.name << "\"\nrole = \"gateway\"\nmachineClass = \"front\"\n"
+         << "serves = [\"front\",\"control\"]\nip = \"" << own.ip << "\"\nzone = \"zone-a\"\n"
+         << "region = \"baltic-north\"\ninternalPorts = [" << own.port + 10 << ',' << own.port + 25 << "]\n"
+         << "seeds = [" << seeds << "]\nbootstrap = true\nlossCounts = false\n"
          << "discovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n"
          << "[zones]\nzone-a = \"baltic-north\"\n"
-         << "[listen]\nfront = \"" << at(0) << "\"\nreadiness = \"" << at(1) << "\"\ncontrol = \"" << at(2)
-         << "\"\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\n"
+         << "[listen]\nfront = " << at(own, 0) << "\nreadiness = " << at(own, 1)
+         << "\ncontrol = " << at(own, 2)
+         << "\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\n"
          << "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\n"
          << "drainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n"
          << "retryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 54\nrecoverS = 12\n"
@@ -282,7 +340,7 @@
 
 bool gateway_process::isReady() const
 {
-    stream_socket socket = stream_socket::connectTo(m_ip, static_cast<std::uint16_t>(m_port + 1));
+    stream_socket socket = stream_socket::connectTo(ip(), static_cast<std::uint16_t>(port() + 1));
     if (!socket.isOpen() || !socket.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"))
         return false;
     const auto answer = readMessage(socket, std::chrono::seconds(1));
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -37,7 +37,8 @@
     steady_clock::time_point m_startedAt = steady_clock::now();
 };
 
-/// Stand-in of the platform's store: items, reads by key and prefix, and watches. Thread safe.
+/// Stand-in of the platform's store: items, reads by key and prefix, watches, and writes of one item under a
+/// condition. Thread safe.
 class store_standin {
 public:
     explicit store_standin(const std::string& ip);
@@ -46,12 +47,14 @@
 
 private:
     struct item {
-        std::string value;
+        std::string value; ///< in base64
         std::uint64_t revision = 0;
     };
 
     void serve(stream_socket& socket);
-    std::pair<int, std::string> answer(const std::string& target);
+    std::pair<int, std::string> answer(const http_message& request);
+    std::pair<int, std::string> write(const std::string& transaction);
+    void change(const std::string& key, std::string value);
     std::string itemJson(const std::string& key, const item& stored) const;
     std::string itemsAfter(const std::string& prefix, std::uint64_t after) const;
 
@@ -77,10 +80,12 @@
 public:
     using handler = std::function<bool(replica_standin&, stream_socket&, const replica_request&)>;
 
-    replica_standin(const std::string& ip, std::string id, std::string service, handler handle);
+    /// `port`: 0 for a free one.
+    replica_standin(
+        const std::string& ip, std::string id, std::string service, handler handle, std::uint16_t port = 0);
     const std::string& id() const { return m_id; }
-    /// The entry that the replica keeps in the store.
-    std::string entryJson(unsigned slots) const;
+    /// The entry that the replica keeps in the store. `life`: number of its start.
+    std::string entryJson(unsigned slots, unsigned life = 0) const;
     const std::string& service() const { return m_service; }
 
 private:
@@ -104,11 +109,21 @@
 /// idempotent) and /look/ (idempotent).
 std::string configurationJson();
 
+/// Where a node listens. All nodes of a run have the same port.
+struct node_place {
+    std::string name;
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+/// Places for that many nodes, on loopback addresses of their own.
+std::vector<node_place> placeNodes(unsigned count);
+
 /// One gateway process, started as the deploy file says. Not thread safe, but for residentBytes().
 class gateway_process {
 public:
-    /// `binary`: path of the program.
-    gateway_process(std::string binary, const std::string& storeAddress);
+    /// `binary`: path of the program. `nodes`: the places of all nodes, this one first.
+    gateway_process(std::string binary, const std::string& storeAddress, std::vector<node_place> nodes);
     ~gateway_process();
     gateway_process(const gateway_process&) = delete;
     gateway_process& operator=(const gateway_process&) = delete;
@@ -121,8 +136,8 @@
     std::size_t residentBytes() const;
     /// Whether the process has ended by itself.
     bool hasEnded();
-    std::string ip() const { return m_ip; }
-    std::uint16_t port() const { return m_port; }
+    std::string ip() const { return m_nodes.front().ip; }
+    std::uint16_t port() const { return m_nodes.front().port; }
 
     /// The limit of memory in its settings, in bytes.
     static constexpr std::size_t memoryLimit = 260 * std::size_t { 1024 } * 1024;
@@ -130,9 +145,10 @@
 private:
     bool isReady() const;
 
+    void writeSettings(const std::string& storeAddress) const;
+
     std::string m_binary;
-    std::string m_ip;
-    std::uint16_t m_port = 0;
+    std::vector<node_place> m_nodes;
     std::string m_folder; ///< temporary
     std::string m_settings;
     std::atomic<pid_t> m_pid { 0 };
--- a/review/common/sockets.cpp
+++ b/review/common/sockets.cpp
@@ -210,8 +210,8 @@
     return message;
 }
 
-listener::listener(const std::string& ip)
-    : m_descriptor(openAndBind(ip, 0))
+listener::listener(const std::string& ip, std::uint16_t port)
+    : m_descriptor(openAndBind(ip, port))
 {
     sockaddr_in address {};
     socklen_t length = sizeof address;
--- a/review/common/sockets.h
+++ b/review/common/sockets.h
@@ -64,8 +64,8 @@
 public:
     using session = std::function<void(stream_socket&)>;
 
-    /// Listens on a free port. Throws std::runtime_error if that fails.
-    explicit listener(const std::string& ip);
+    /// Listens on that port, or on a free one. Throws std::runtime_error if that fails.
+    explicit listener(const std::string& ip, std::uint16_t port = 0);
     void start(session run);
     std::uint16_t port() const { return m_port; }
 
