review: the gateway's own answer to a HEAD request has a body

Cause: response_writer::failureBytes() writes a body whatever the method of the request. On a kept connection the body stands where the answer to the next request is expected.

--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -231,14 +231,17 @@
         + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string configurationJson()
+std::string configurationJson(unsigned version, const std::vector<std::string>& keys)
 {
+    std::string keyList;
+    for (const std::string& key : keys)
+        keyList += (keyList.empty() ? "\"" : ",\"") + key + '"';
     const auto route = [](const std::string& name, const std::string& kind, const std::string& service,
                            const std::string& more) {
         return R"({"name":"r-)" + name + R"(","hostname":")" + hostName + R"(","pathPrefix":"/)" + name
             + R"(/","kind":")" + kind + R"(","backend":")" + service + R"(","public":false,)" + more + '}';
     };
-    return R"({"resourceVersion":7,"routes":[)"
+    return R"({"resourceVersion":)" + std::to_string(version) + R"(,"routes":[)"
         + route("chat", "streaming", modelService,
             R"("timeoutMs":12000,"targetLatencyMs":800,"priority":1,"maxAttempts":1,"sticky":true,)"
             R"("resumable":false,"gapAimMs":300)")
@@ -255,7 +258,7 @@
         + R"(","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}],)"
           R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
           R"("idleTimeoutMs":15000},"tenants":[{"name":")"
-        + tenantName + R"(","apiKeys":[")" + apiKey + R"("],"priority":1}]})";
+        + tenantName + R"(","apiKeys":[)" + keyList + R"(],"priority":1}]})";
 }
 
 std::vector<node_place> placeNodes(unsigned count)
@@ -376,11 +379,11 @@
     return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
-std::string requestHead(
-    const std::string& id, const std::string& method, const std::string& path, unsigned deadlineMs)
+std::string requestHead(const std::string& id, const std::string& method, const std::string& path,
+    unsigned deadlineMs, const std::string& key)
 {
     return method + ' ' + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nLycheefront-Attempt-Id: " + id
-        + "\r\nLycheefront-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Token " + apiKey
+        + "\r\nLycheefront-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Token " + key
         + "\r\n";
 }
 
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -107,7 +107,7 @@
 
 /// The operator's configuration, with three routes: /chat/ (a stream that may not be resumed), /pay/ (not
 /// idempotent) and /look/ (idempotent).
-std::string configurationJson();
+std::string configurationJson(unsigned version = 7, const std::vector<std::string>& keys = { apiKey });
 
 /// Where a node listens. All nodes of a run have the same port.
 struct node_place {
@@ -155,7 +155,7 @@
 };
 
 /// The head of a client's request, up to the headers of its body.
-std::string requestHead(
-    const std::string& id, const std::string& method, const std::string& path, unsigned deadlineMs);
+std::string requestHead(const std::string& id, const std::string& method, const std::string& path,
+    unsigned deadlineMs, const std::string& key = apiKey);
 
 } // namespace review
--- a/review/common/sockets.cpp
+++ b/review/common/sockets.cpp
@@ -168,7 +168,7 @@
     return space == std::string::npos ? 0 : std::atoi(startLine.c_str() + space + 1);
 }
 
-std::optional<http_message> readMessage(stream_socket& socket, milliseconds timeout)
+std::optional<http_message> readMessage(stream_socket& socket, milliseconds timeout, bool hasBody)
 {
     http_message message;
     const auto start = socket.readLine(timeout);
@@ -188,6 +188,8 @@
         message.headers[lowerCase(line->substr(0, colon))]
             = value == std::string::npos ? std::string() : line->substr(value);
     }
+    if (!hasBody)
+        return message;
     if (message.header("transfer-encoding") == "chunked") {
         while (true) {
             const auto line = socket.readLine(timeout);
--- a/review/common/sockets.h
+++ b/review/common/sockets.h
@@ -56,8 +56,9 @@
     int status() const; ///< of a response; 0 if the start line has none
 };
 
-/// Reads one message; nothing if the connection ends first or the bytes are no message.
-std::optional<http_message> readMessage(stream_socket& socket, milliseconds timeout);
+/// Reads one message; nothing if the connection ends first or the bytes are no message. `hasBody`: false for
+/// the response to a HEAD request.
+std::optional<http_message> readMessage(stream_socket& socket, milliseconds timeout, bool hasBody = true);
 
 /// Accepts connections on a loopback address and runs a thread for each. The threads end with the process.
 class listener {
