review: a case that has not played its disruption ends with 2

Cause: cases 1 to 4 ended with 0 where nothing ran, or where the disruption did not come about, as if the rule had held.

--- a/review/3/endlessframing.cpp
+++ b/review/3/endlessframing.cpp
@@ -150,6 +150,7 @@
     const std::string ip = loopbackAddress();
     store_standin store(ip);
     std::vector<std::unique_ptr<replica_standin>> replicas;
+    std::atomic<unsigned> spoiled = 0; // responses
     std::atomic<unsigned> streams = 0; // of the faulty replica, while it is faulty
     steady_clock::time_point startedAt = steady_clock::time_point::max(); // of the traffic
     const auto pay = [&](replica_standin& replica, stream_socket& socket, const replica_request& request) {
@@ -165,6 +166,7 @@
         const bool isSpoiled = isFaulty && ++streams % spoiledEvery == 0;
         if (!isSpoiled)
             return sendStream(socket, request.id);
+        ++spoiled;
         record.add("spoiled response of " + replica.id() + " to " + request.id);
         const std::size_t sent = sendSpoiled(socket, request.id);
         record.add("spoiled response ended after " + std::to_string(sent / 1000000) + " MB");
@@ -207,7 +209,7 @@
     record.add("killed for its memory: " + std::to_string(kills) + ", answers: "
         + std::to_string(seen.answers()) + ", lost on kept connections: " + std::to_string(seen.lost()));
     std::cout << "killed for its memory " << kills << " times, LOST " << seen.lost() << " requests\n";
-    if (seen.answers() == 0)
+    if (seen.answers() == 0 || (hasTrouble() && spoiled == 0))
         endRun(2);
     endRun(seen.lost() > excusedLosses ? 1 : 0);
 }
