Bytes that no parser takes are bounded at every reader

Cause: Beast's parser takes nothing of an incomplete chunk head, extension or trailer and asks for more; http_connection kept what it did not take without a limit. Limits of heads, events and buffered bodies count only what the parser has passed on. The same held for callers' requests, and for all readers of the older daemon.

Change: parseReceived() serves both readers of the gateway and fails with buffer_overflow when more than a head is left; the flat buffers of the older daemon, the text server and the key-value client get a limit.

--- a/src/app/lycheefrontd/operatorserver.cpp
+++ b/src/app/lycheefrontd/operatorserver.cpp
@@ -4,6 +4,8 @@
 #include "wire/acceptloop.h"
 #include "wire/task.h"
 
+#include "utils/readbuffer.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -73,7 +75,7 @@
 asio::awaitable<void> operator_server::session(asio::ip::tcp::socket socket)
 {
     boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(utils::readBufferLimit(utils::defaultMaxHeadBytes));
     bool keepAlive = true;
     while (keepAlive) {
         http::request_parser<http::string_body> parser;
--- a/src/libs/gateway/requests/callerconnection.cpp
+++ b/src/libs/gateway/requests/callerconnection.cpp
@@ -1,6 +1,7 @@
 #include "callerconnection.h"
 
 #include "gateway/clock.h"
+#include "gateway/receivedbytes.h"
 #include "gateway/servers/httpconnection.h"
 #include "headcheck.h"
 
@@ -104,14 +105,8 @@
     parser.eager(true);
     bool hasSentContinue = false;
     while (true) {
-        error_code fault;
-        while (!m_received.empty() && !parser.is_done()) {
-            const std::size_t used = parser.put(asio::buffer(m_received), fault);
-            m_received.erase(0, used);
-            if (fault || used == 0)
-                break;
-        }
-        if (fault && fault != http::error::need_more) {
+        const error_code fault = parseReceived(parser, m_received, limits.headerBytes);
+        if (fault) {
             const bool isTooLarge = fault == http::error::body_limit;
             outcome.status = isTooLarge ? read_status::BodyTooLarge : read_status::Malformed;
             outcome.detail = fault.message();
--- a/src/libs/gateway/servers/httpconnection.cpp
+++ b/src/libs/gateway/servers/httpconnection.cpp
@@ -1,6 +1,7 @@
 #include "httpconnection.h"
 
 #include "gateway/clock.h"
+#include "gateway/receivedbytes.h"
 
 #include "wire/socketpeek.h"
 
@@ -92,7 +93,7 @@
     std::optional<utils::time_point> beganAt;
     unsigned interimResponses = 0;
     while (true) {
-        const error_code fault = feed();
+        const error_code fault = parseReceived(*m_parser, m_received, maxHeadBytes);
         if (fault)
             co_return fault;
         if (m_parser->is_header_done()) {
@@ -127,7 +128,7 @@
         } else if (error) {
             co_return error;
         }
-        const error_code fault = feed();
+        const error_code fault = parseReceived(*m_parser, m_received, maxHeadBytes);
         if (fault)
             co_return fault;
     }
@@ -202,21 +203,6 @@
     co_return error;
 }
 
-http_connection::error_code http_connection::feed()
-{
-    while (!m_received.empty() && !m_parser->is_done()) {
-        error_code error;
-        const bool hadHead = m_parser->is_header_done();
-        const std::size_t used = m_parser->put(asio::buffer(m_received), error);
-        m_received.erase(0, used);
-        if (error && error != http::error::need_more)
-            return error;
-        if (used == 0 && hadHead == m_parser->is_header_done())
-            break;
-    }
-    return {};
-}
-
 void http_connection::startResponse()
 {
     m_parser.emplace();
--- a/src/libs/gateway/servers/httpconnection.h
+++ b/src/libs/gateway/servers/httpconnection.h
@@ -43,7 +43,8 @@
     /// Reads the head of the next response, and skips interim (1xx) responses. Fails with header_limit where
     /// these are too long, too many, or still incomplete long after their first byte.
     boost::asio::awaitable<error_code> readHead();
-    /// Reads more of the body and appends it to `bytes`; may append nothing.
+    /// Reads more of the body and appends it to `bytes`; may append nothing. Fails with buffer_overflow where
+    /// the head of a chunk or the trailer does not end.
     boost::asio::awaitable<error_code> readBody(std::string& bytes);
     /// Reads what is left of the response and drops it. Fails with body_limit where that does not end within
     /// `limits`, which are looked at as bytes arrive.
@@ -74,7 +75,6 @@
 
 private:
     boost::asio::awaitable<error_code> receive();
-    error_code feed();
     void startResponse();
 
     boost::asio::ip::tcp::socket m_socket;
--- a/src/libs/gateway/textserver.cpp
+++ b/src/libs/gateway/textserver.cpp
@@ -5,6 +5,8 @@
 #include "wire/acceptloop.h"
 #include "wire/task.h"
 
+#include "utils/readbuffer.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -57,7 +59,7 @@
 {
     const auto self = shared_from_this();
     setTcpUserTimeout(socket, idleTimeout);
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(utils::readBufferLimit(utils::defaultMaxHeadBytes));
     while (true) {
         http::request<http::empty_body> request;
         const auto [error, count] = co_await http::async_read(socket, buffer, request, asTuple);
--- a/src/libs/keyvalue/kvconnection.h
+++ b/src/libs/keyvalue/kvconnection.h
@@ -2,6 +2,7 @@
 
 #include "kvtypes.h"
 
+#include "utils/readbuffer.h"
 #include "utils/time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -40,7 +41,7 @@
 
 private:
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { utils::readBufferLimit(utils::defaultMaxHeadBytes) };
     boost::asio::ip::tcp::endpoint m_endpoint;
     bool m_isBroken = false;
 };
--- a/src/libs/keyvalue/kvwatch.h
+++ b/src/libs/keyvalue/kvwatch.h
@@ -2,6 +2,7 @@
 
 #include "kvtypes.h"
 
+#include "utils/readbuffer.h"
 #include "utils/time.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -65,7 +66,7 @@
     boost::asio::steady_timer m_backoffTimer;
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
     std::unique_ptr<stream_parser> m_parser;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { utils::readBufferLimit(utils::defaultMaxHeadBytes) };
     std::string m_chunk;
     std::string m_received;
     std::size_t m_endpoint = 0;
--- a/src/libs/serving/backendexchange.cpp
+++ b/src/libs/serving/backendexchange.cpp
@@ -17,7 +17,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::uint32_t answerHeaderLimit = 64 * 1024;
 
 } // namespace
 
@@ -61,7 +60,7 @@
     , m_silenceLimit(silenceLimit)
     , m_watchdog(std::make_shared<watchdog>(m_connection.get(), silenceLimit))
 {
-    m_parser.header_limit(answerHeaderLimit);
+    m_parser.header_limit(backend_connection::maxHeadBytes);
     m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     m_watchdog->arm();
 }
--- a/src/libs/serving/backendexchange.h
+++ b/src/libs/serving/backendexchange.h
@@ -3,6 +3,8 @@
 #include "answersink.h"
 #include "netstream.h"
 
+#include "utils/readbuffer.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -26,13 +28,15 @@
 
 /// A connection to a backend server with what was read ahead on it.
 struct backend_connection {
+    static constexpr std::size_t maxHeadBytes = 65536;
+
     explicit backend_connection(net_stream s)
         : stream(std::move(s))
     {
     }
 
     net_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer { utils::readBufferLimit(maxHeadBytes) };
     bool isReused = false;
 };
 
--- a/src/libs/serving/callersession.cpp
+++ b/src/libs/serving/callersession.cpp
@@ -6,6 +6,7 @@
 #include "teamlimits.h"
 
 #include "utils/eventlog.h"
+#include "utils/readbuffer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -80,6 +81,7 @@
     : m_context(context)
     , m_services(services)
     , m_stream(std::move(stream))
+    , m_buffer(utils::readBufferLimit(context.settings.callers.limits.headerBytes))
 {
 }
 
--- a/tests/auto/gateway/tst_callerconnection.cpp
+++ b/tests/auto/gateway/tst_callerconnection.cpp
@@ -80,6 +80,25 @@
     }
 }
 
+// Guards against a request that fills the memory of the node with bytes that no parser takes.
+BOOST_AUTO_TEST_CASE(framing_without_end_is_no_request)
+{
+    constexpr std::size_t total = 4'000'000; // bytes; far more than any framing has
+    for (const std::string framing : { "0", "5;name=", "0\r\nX-Trailer: " }) {
+        caller_pair pair;
+        const std::string head
+            = "POST /look/1 HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string bytes = head + framing + std::string(total, '0');
+        boost::asio::async_write(pair.caller, boost::asio::buffer(bytes),
+            [&](const boost::system::error_code&, std::size_t) { pair.caller.close(); });
+        pair.readRequest();
+        while (!pair.status)
+            pair.io.run_one();
+        BOOST_TEST_CONTEXT("framing " << framing)
+        BOOST_TEST((pair.status == read_status::Malformed));
+    }
+}
+
 // A caller that closes its connection before its request is processed waits for no response, so no server
 // should work for it.
 BOOST_AUTO_TEST_CASE(a_caller_that_has_left_is_noticed_at_once)
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -1,14 +1,20 @@
 #include "gateway/requests/stopscope.h"
 #include "gateway/servers/httpconnection.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -69,6 +75,39 @@
         return *result;
     }
 
+    /// Sends `piece` again and again behind these bytes, up to far more than any framing has, and closes.
+    /// Returns how reading the response ends.
+    boost::system::error_code readEndless(const std::string& bytes, const std::string& piece)
+    {
+        constexpr std::size_t total = 4'000'000; // bytes
+        const boost::system::error_code error = readHead(bytes);
+        if (error)
+            return error;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                std::string block;
+                while (block.size() < 65536)
+                    block += piece;
+                for (std::size_t sent = 0; sent < total && server.is_open(); sent += block.size())
+                    co_await asio::async_write(
+                        server, asio::buffer(block), asio::as_tuple(asio::use_awaitable));
+                server.shutdown(tcp::socket::shutdown_send);
+            },
+            asio::detached);
+        return await(readToEnd());
+    }
+    asio::awaitable<boost::system::error_code> readToEnd()
+    {
+        std::string body;
+        while (!connection->isDone()) {
+            body.clear();
+            if (const auto error = co_await connection->readBody(body))
+                co_return error;
+        }
+        co_return boost::system::error_code();
+    }
+
     /// Returns the number of bytes that reach the server from now on.
     std::size_t arriving()
     {
@@ -116,6 +155,29 @@
     BOOST_TEST((await(connection->discardBody({ 9, 1s })) == boost::beast::http::error::body_limit));
 }
 
+// Guards against a response that fills the memory of the node with bytes that no parser takes.
+BOOST_FIXTURE_TEST_CASE(framing_without_end_is_no_response, full_connection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> framings { { "", "~" }, { "", "0" },
+        { "5;", "name=value;" }, { "5\r\nbytes\r\n", "1" }, { "0\r\nX-Trailer: ", "x" },
+        { "0\r\nX-First: x\r\n", "X-Trailer: x\r\n" } };
+    for (const auto& [begin, piece] : framings) {
+        full_connection other;
+        const auto error = other.readEndless(head + begin, piece);
+        BOOST_TEST_CONTEXT("framing " << begin << piece)
+        BOOST_TEST((error.category() == boost::beast::http::make_error_code({}).category()));
+        BOOST_TEST((error != boost::beast::http::error::partial_message));
+    }
+}
+
+// Guards against work that grows with the square of the bytes received.
+BOOST_FIXTURE_TEST_CASE(smallest_chunks_are_read_as_they_come, full_connection)
+{
+    const auto error = readEndless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
+    BOOST_TEST((error == asio::error::eof || error == boost::beast::http::error::partial_message));
+}
+
 // Guards against a request that reaches a server long after the node gave it up and told its caller so: its
 // bytes were queued in the kernel behind a saturated link.
 BOOST_FIXTURE_TEST_CASE(an_aborted_request_is_not_delivered, full_connection)
