Fault matrix: draws in a stated order

Cause: two draws in the arguments of one call. Their order is unspecified and differs between the platforms, so a seed is another history.

Change: the draws are made one after the other, in the order that x86-64 had, for payments and drafts. Nothing is left out: bounds and table are as they were.

--- a/tests/auto/operations/draftworld.cpp
+++ b/tests/auto/operations/draftworld.cpp
@@ -61,9 +61,12 @@
     const std::size_t node = draw(nodeCount);
     if (what == 19 && draw(4) == 0)
         sendRefused(node);
-    else if (what < 6)
-        m_bench.send("draft-" + std::to_string(draw(6)), node, "team-" + std::to_string(draw(2)));
-    else if (what == 6)
+    else if (what < 6) {
+        // One after the other: the order in which arguments are evaluated differs between platforms.
+        const std::string team = "team-" + std::to_string(draw(2));
+        const std::string draft = "draft-" + std::to_string(draw(6));
+        m_bench.send(draft, node, team);
+    } else if (what == 6)
         m_bench.nodes().pause(node);
     else if (what == 7)
         m_bench.nodes().resumeNewestFirst(node);
--- a/tests/auto/operations/paymentworld.cpp
+++ b/tests/auto/operations/paymentworld.cpp
@@ -55,9 +55,12 @@
 {
     const unsigned what = draw(20);
     const std::size_t node = draw(nodeCount);
-    if (what < 6)
-        m_bench.send("order-" + std::to_string(draw(3)), node, draw(12) == 0 ? "99.00 EUR" : "10.00 EUR");
-    else if (what == 6)
+    if (what < 6) {
+        // One after the other: the order in which arguments are evaluated differs between platforms.
+        const std::string amount = draw(12) == 0 ? "99.00 EUR" : "10.00 EUR";
+        const std::string order = "order-" + std::to_string(draw(3));
+        m_bench.send(order, node, amount);
+    } else if (what == 6)
         m_bench.nodes().pause(node);
     else if (what == 7)
         m_bench.nodes().resumeNewestFirst(node);
