Streams beside a release outlive all nodes, and are never joined

Cause: a new process took the one version present for the only one possible where no record was known. The record is missing just when the store refuses it; a new one does not tell what was before; a version began streams before it was recorded; and the origins of streams lived in nodes alone.

Change: nothing follows from a missing record; a new one names "?" for 30 s, unless its writer has read the store without a configuration; a version that is not recorded begins no streams beside a recorded one; all followers in turn write the record; one follower writes the origins of resumable streams into a ring of items, which nodes read when they start.

--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -10,6 +10,7 @@
 #include "gateway/requests/clientsession.h"
 #include "gateway/servers/pathprober.h"
 #include "gateway/servers/servernotices.h"
+#include "gateway/view/originjournal.h"
 #include "gateway/view/recordkeeper.h"
 #include "gateway/view/viewupdater.h"
 #include "nodecontext.h"
@@ -52,6 +53,7 @@
         , m_work(m_context, m_peers)
         , m_versionKeeper(m_context, m_peers, version_record { m_context.versions })
         , m_partKeeper(m_context, m_peers, part_record { m_context.crashingParts })
+        , m_originJournal(m_context)
         , m_acceptor(executor)
         , m_forwardAcceptor(executor)
         , m_timer(executor)
@@ -67,7 +69,8 @@
         const auto send = [this](const std::string& address, const std::string& datagram) {
             m_link->sendDatagram(address, datagram);
         };
-        m_streams.start(send);
+        m_streams.start(send,
+            [this](const std::vector<decisions::stream_origin>& origins) { m_originJournal.add(origins); });
         m_crashes.start(send);
         m_notices.start(send);
         m_work.start(send);
@@ -89,7 +92,7 @@
         if (m_peers.knownNodes() == 1)
             m_context.fleetSize.settle();
         wire::startTask(executor, "accept_callers", acceptCallers());
-        m_viewUpdater.start(*m_link);
+        m_viewUpdater.start(*m_link, originItemEvents());
         wire::startTask(executor, "heartbeat", heartbeatLoop());
     }
 
@@ -125,6 +128,29 @@
         return events;
     }
 
+    origin_item_events originItemEvents()
+    {
+        origin_item_events events;
+        events.onRead = [this](const std::vector<store_item>& items) { takeStoredOrigins(items); };
+        // The origins of an item that has just changed are known to peers.
+        events.onChange = [this](const store_item& item) { m_originJournal.observe(item, now()); };
+        return events;
+    }
+
+    void takeStoredOrigins(const std::vector<store_item>& items)
+    {
+        std::size_t count = 0;
+        for (const store_item& item : items) {
+            m_originJournal.observe(item, now());
+            const std::vector<decisions::stream_origin> origins = decodeOrigins(item.value);
+            m_streams.takeStored(origins);
+            count += origins.size();
+        }
+        if (count > 0)
+            utils::logEvent(utils::event::StreamOriginsRead,
+                { { "origins", std::to_string(count) }, { "items", std::to_string(items.size()) } });
+    }
+
     node_gauges gauges() const
     {
         const utils::time_point present = now();
@@ -145,7 +171,7 @@
         gauges.partStrikes = static_cast<double>(m_context.crashingParts.size());
         gauges.crashingParts = static_cast<double>(m_context.crashingParts.refused(present));
         gauges.streamOrigins = static_cast<double>(m_streams.size());
-        gauges.streamOriginsDropped = static_cast<double>(m_streams.dropped());
+        gauges.streamOriginsDropped = static_cast<double>(m_streams.dropped() + m_originJournal.dropped());
         gauges.openDescriptors = openDescriptors();
         gauges.residentBytes = residentBytes();
         gauges.timerLagSeconds = utils::toSeconds(m_timerLag);
@@ -307,7 +333,8 @@
         m_viewUpdater.tick(present);
         m_versionKeeper.tick(m_viewUpdater.followsStore(), present);
         m_partKeeper.tick(m_viewUpdater.followsStore(), present);
-        m_streams.tick(present);
+        m_streams.tick(m_viewUpdater.followsStore(), present);
+        m_originJournal.tick(present);
         m_crashes.tick(present);
         m_notices.tick(present);
         m_work.tick(present);
@@ -470,6 +497,7 @@
     work_directory m_work;
     record_keeper<Store, version_record> m_versionKeeper;
     record_keeper<Store, part_record> m_partKeeper;
+    origin_journal<Store> m_originJournal;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::acceptor m_forwardAcceptor;
     boost::asio::steady_timer m_timer;
--- a/src/libs/gateway/peers/streamdirectory.cpp
+++ b/src/libs/gateway/peers/streamdirectory.cpp
@@ -2,6 +2,10 @@
 
 #include "gateway/clock.h"
 
+#include "decisions/followrule.h"
+
+#include "utils/hashing.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -28,8 +32,11 @@
         return;
     const decisions::stream_origin origin { keyOf(plan, began), version };
     m_origins.record(origin, true, now());
-    if (m_context.versions.hasSeveral(plan.service, now()))
-        report({ origin }, [](const std::string&) { return true; });
+    if (!m_context.versions.mayHaveSeveral(plan.service, now()))
+        return;
+    report({ origin }, [](const std::string&) { return true; });
+    if (plan.route->isResumable)
+        deposit({ origin });
 }
 
 boost::asio::awaitable<decisions::found_origin> stream_directory::find(
@@ -97,6 +104,13 @@
         for (const reported_origin& reported : message.origins)
             m_origins.record(reported.origin, false, now());
         break;
+    case stream_message_kind::Deposit: {
+        std::vector<decisions::stream_origin> origins;
+        for (const reported_origin& reported : message.origins)
+            origins.push_back(reported.origin);
+        m_deposit(origins);
+        break;
+    }
     case stream_message_kind::Question:
         answer(message);
         break;
@@ -140,41 +154,80 @@
     }
 }
 
-void stream_directory::tick(utils::time_point now)
+void stream_directory::takeStored(const std::vector<decisions::stream_origin>& origins)
 {
+    for (const decisions::stream_origin& origin : origins)
+        m_origins.record(origin, false, now());
+}
+
+void stream_directory::tick(bool followsStore, utils::time_point now)
+{
+    m_followsStore = followsStore;
     m_origins.expire(now);
     if (!m_context.configuration)
         return;
     bool isNew = false;
     for (const auto& [name, service] : m_context.configuration->services) {
-        if (!m_context.versions.hasSeveral(name, now))
+        if (!m_context.versions.mayHaveSeveral(name, now))
             m_severalVersions.erase(name);
         else
             isNew = m_severalVersions.insert(name).second || isNew;
     }
+    if (!isNew)
+        return;
     // Streams that began while there was a single version were not reported.
-    if (isNew)
-        report(m_origins.ownSince(reportedAge, now), [](const std::string&) { return true; });
+    const std::vector<decisions::stream_origin> origins = m_origins.ownSince(reportedAge, now);
+    report(origins, [](const std::string&) { return true; });
+    deposit(origins);
 }
 
 void stream_directory::report(const std::vector<decisions::stream_origin>& origins,
     const std::function<bool(const std::string&)>& isWanted)
 {
-    std::map<std::string, std::vector<reported_origin>> byHolder;
+    std::map<std::string, std::vector<decisions::stream_origin>> byHolder;
     for (const decisions::stream_origin& origin : origins) {
         for (const std::string& address : peersFor(origin.stream, decisions::originHolders)) {
             if (isWanted(address))
-                byHolder[address].push_back({ origin });
+                byHolder[address].push_back(origin);
         }
     }
-    for (const auto& [address, reported] : byHolder) {
-        for (std::size_t at = 0; at < reported.size(); at += stream_message::maxOrigins) {
-            const std::size_t end = std::min(reported.size(), at + stream_message::maxOrigins);
-            stream_message message;
-            message.origins.assign(reported.begin() + static_cast<std::ptrdiff_t>(at),
-                reported.begin() + static_cast<std::ptrdiff_t>(end));
-            send(address, std::move(message));
-        }
+    for (const auto& [address, reported] : byHolder)
+        sendOrigins(address, stream_message_kind::Report, reported);
+}
+
+void stream_directory::deposit(const std::vector<decisions::stream_origin>& origins)
+{
+    const std::string address = depositary(now());
+    if (address == m_peers.ownAddress())
+        m_deposit(origins);
+    else if (!address.empty())
+        sendOrigins(address, stream_message_kind::Deposit, origins);
+}
+
+std::string stream_directory::depositary(utils::time_point now) const
+{
+    std::vector<std::string> candidates;
+    if (m_followsStore)
+        candidates.push_back(m_peers.ownAddress());
+    for (const auto& [name, peer] : m_peers.peers()) {
+        if (peer.followsStore && !peer.isLeaving && now - peer.heardAt <= decisions::followerTimeout)
+            candidates.push_back(peer.address);
+    }
+    const auto first = std::ranges::min_element(
+        candidates, {}, [](const std::string& address) { return utils::hash64(address); });
+    return first == candidates.end() ? std::string() : *first;
+}
+
+void stream_directory::sendOrigins(const std::string& address, stream_message_kind kind,
+    const std::vector<decisions::stream_origin>& origins) const
+{
+    for (std::size_t at = 0; at < origins.size(); at += stream_message::maxOrigins) {
+        const std::size_t end = std::min(origins.size(), at + stream_message::maxOrigins);
+        stream_message message;
+        message.kind = kind;
+        for (std::size_t i = at; i < end; ++i)
+            message.origins.push_back({ origins[i] });
+        send(address, std::move(message));
     }
 }
 
--- a/src/libs/gateway/peers/streammessages.h
+++ b/src/libs/gateway/peers/streammessages.h
@@ -17,6 +17,7 @@
     Report, ///< the sender knows these origins
     Question, ///< the sender looks for the origin of one stream, whose version is 0
     Answer, ///< to a question; version 0: unknown here
+    Deposit, ///< the receiver is to write these origins to the store
     Count_
 };
 
--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -160,12 +160,25 @@
         && !context.servers.isEvacuated(server.dataCentre);
 }
 
+/// Leaves out the servers at which no stream should begin, because their version is not recorded yet.
+void keepRecorded(const node_context& context, const std::string& service,
+    std::vector<const catalogue::backend_server*>& servers)
+{
+    const auto isRecorded = [&](const catalogue::backend_server* server) {
+        return context.versions.isRecorded(service, server->softwareVersion);
+    };
+    if (std::ranges::any_of(servers, isRecorded))
+        std::erase_if(servers, [&](const auto* server) { return !isRecorded(server); });
+}
+
 /// The servers among which a request may be placed. Draining ones only where no other has the version that
 /// the request is bound to.
 std::vector<const catalogue::backend_server*> serversFor(const node_context& context,
     const request_plan& plan, const bound_version& version, utils::time_point now)
 {
     auto servers = context.servers.usable(plan.service);
+    if (!version && plan.route->kind == catalogue::request_kind::Stream)
+        keepRecorded(context, plan.service, servers);
     if (!version)
         return servers;
     std::erase_if(servers, [&](const auto* server) { return !isOfVersion(*server, *version); });
--- a/src/libs/gateway/view/recordkeeper.h
+++ b/src/libs/gateway/view/recordkeeper.h
@@ -12,6 +12,7 @@
 
 #include "utils/hashing.h"
 
+#include <algorithm>
 #include <concepts>
 #include <optional>
 #include <string>
@@ -61,8 +62,9 @@
     bool exists() const { return parts.hasRecord(); }
 };
 
-/// Keeps a record in the store. Of the nodes that follow the store, one writes; the condition of the write
-/// keeps the record of a node that knows less from replacing another. Not thread safe.
+/// Keeps a record in the store. Of the nodes that follow the store, one writes, and the others take over in
+/// turn where the store refuses it; the condition of the write keeps the record of a node that knows less
+/// from replacing another. Not thread safe.
 template <writable_store Store, stored_record Record> class record_keeper {
 public:
     /// Precondition: context, peers and what the record refers to outlive this object.
@@ -82,10 +84,15 @@
             || now - m_context.startedAt < firstWriteAfter)
             return;
         std::optional<std::string> text = m_record.missing(now);
-        if (!text || !isWriter(now))
+        if (!text) {
+            m_missingSince.reset();
+            return;
+        }
+        m_missingSince = m_missingSince.value_or(now);
+        if (now - *m_missingSince < rank(now) * takeoverDelay)
             return;
         m_isWriting = true;
-        m_nextWriteAt = now + writeInterval;
+        m_nextWriteAt = now + std::min(maxWriteInterval, writeInterval * (1 << m_failuresInRow));
         wire::startTask(m_context.executor, "write_record", write(std::move(*text)));
     }
 
@@ -96,26 +103,33 @@
         const store_status status
             = co_await m_store.write(std::string(Record::key()), std::move(text), expected);
         m_context.metrics.countStoreCall(store_call::Write, status);
+        const bool isServed = status == store_status::Done || status == store_status::Conflict;
+        m_failuresInRow = isServed ? 0 : std::min(m_failuresInRow + 1, maxFailures);
         m_isWriting = false;
     }
 
-    /// Whether this node writes next: the nodes that follow the store agree on one.
-    bool isWriter(utils::time_point now) const
+    /// How many others write before this node, in an order on which the nodes that follow the store agree.
+    unsigned rank(utils::time_point now) const
     {
         const std::uint64_t salt = m_record.revision();
         const std::uint64_t own = utils::hash64(m_peers.ownAddress(), salt);
+        unsigned earlier = 0;
         for (const auto& [name, peer] : m_peers.peers()) {
-            if (peer.followsStore && !peer.isLeaving && now - peer.heardAt <= decisions::followerTimeout
-                && utils::hash64(peer.address, salt) < own)
-                return false;
+            const bool isWriter
+                = peer.followsStore && !peer.isLeaving && now - peer.heardAt <= decisions::followerTimeout;
+            earlier += isWriter && utils::hash64(peer.address, salt) < own ? 1 : 0;
         }
-        return true;
+        return earlier;
     }
 
     // Nodes that start together have heard of each other by then.
     static constexpr utils::duration firstWriteAfter = std::chrono::seconds(1);
     // The written record comes back by the watch within this time.
     static constexpr utils::duration writeInterval = std::chrono::seconds(1);
+    // Refused calls have a cost, too.
+    static constexpr utils::duration maxWriteInterval = std::chrono::seconds(8);
+    static constexpr unsigned maxFailures = 3; ///< that lengthen the interval
+    static constexpr utils::duration takeoverDelay = std::chrono::seconds(1);
 
     node_context& m_context;
     const peer_table& m_peers;
@@ -123,6 +137,8 @@
     Store m_store; ///< with a connection of its own: those of the view wait for changes
     bool m_isWriting = false;
     utils::time_point m_nextWriteAt {};
+    std::optional<utils::time_point> m_missingSince; ///< since when the record is out of date
+    unsigned m_failuresInRow = 0;
 };
 
 } // namespace gateway
--- a/src/libs/gateway/view/viewupdater.h
+++ b/src/libs/gateway/view/viewupdater.h
@@ -3,6 +3,7 @@
 #include "gateway/nodecontext.h"
 #include "gateway/peers/peerlink.h"
 #include "gateway/peers/peertable.h"
+#include "originitems.h"
 #include "storeview.h"
 #include "storewatcher.h"
 
@@ -38,9 +39,11 @@
     {
     }
 
-    /// Starts to follow the store. Precondition: the link outlives this object.
-    void start(peer_link& link)
+    /// Starts to follow the store. Precondition: the link, and what the callbacks refer to, outlive this
+    /// object.
+    void start(peer_link& link, origin_item_events originItems)
     {
+        m_originItems = std::move(originItems);
         m_link = &link;
         wire::startTask(m_context.executor, "watch_store", m_watch.run());
     }
@@ -159,20 +162,32 @@
 
     void applyRange(const store_range& range)
     {
+        // Without a configuration nothing can have been served. A second full read may omit servers that have
+        // come and left.
+        const auto isConfiguration
+            = [](const store_item& item) { return item.key == Codec::configurationKey(); };
+        m_context.versions.setFirstObserver(
+            m_view.serversAsOf() == 0 && std::ranges::none_of(range.items, isConfiguration));
         std::vector<store_item> servers;
+        std::vector<store_item> origins;
         for (const store_item& item : range.items) {
-            if (store_view<Codec>::isServerItem(item))
+            if (isOriginItem(item.key))
+                origins.push_back(item);
+            else if (store_view<Codec>::isServerItem(item))
                 servers.push_back(item);
             else
                 applyConfiguration(item);
         }
+        m_originItems.onRead(origins);
         m_view.applyServers(servers, range.asOf, now());
         m_onViewChange();
     }
 
     void applyChange(const store_change& change)
     {
-        if (store_view<Codec>::isServerItem(change.item))
+        if (isOriginItem(change.item.key))
+            m_originItems.onChange(change.item);
+        else if (store_view<Codec>::isServerItem(change.item))
             m_view.applyServerChange(change, now());
         else if (!change.isRemoved)
             applyConfiguration(change.item);
@@ -375,6 +390,7 @@
     Store m_reads; ///< of single items, while a watch may be waiting on the other connection
     std::vector<std::string> m_seeds; ///< addresses
     store_watcher<Store> m_watch;
+    origin_item_events m_originItems;
     decisions::fetch_gate m_serverFetches;
     decisions::fetch_gate m_configurationFetches { slowConfigurationFetch };
     decisions::view_lag m_configurationLag;
--- a/src/libs/utils/eventcatalogue.cpp
+++ b/src/libs/utils/eventcatalogue.cpp
@@ -47,6 +47,8 @@
         "The record of the software versions of a service has changed" },
     event_info { event::CrashingParts, Info, "crashing_parts",
         "The record of the parts of prompts that are refused has changed" },
+    event_info { event::StreamOriginsRead, Info, "stream_origins_read",
+        "The software versions that began streams were read from the store" },
     event_info { event::RequestDone, Info, "request_done", "A request was answered completely" },
     event_info { event::RequestRefused, Info, "request_refused", "A request was refused" },
     event_info {
--- a/src/libs/utils/eventcatalogue.h
+++ b/src/libs/utils/eventcatalogue.h
@@ -41,6 +41,7 @@
     EvacuationChanged = 3011,
     SoftwareVersions = 3012,
     CrashingParts = 3013,
+    StreamOriginsRead = 3014,
     RequestDone = 4001,
     RequestRefused = 4002,
     AttemptFailed = 4003,
--- a/tests/standins/platform/storestandin.h
+++ b/tests/standins/platform/storestandin.h
@@ -18,6 +18,7 @@
 enum class store_mode {
     Serve,
     Refuse, ///< 503: nothing was done
+    RefuseWrites, ///< the same for writes; reads are served
     Silent ///< no answer at all
 };
 
