An interim response is not the answer, and cut heads are none

Cause: backend_exchange::readHead() took the first head for the final one. The gateway skips interim responses already.

Change: they are skipped, 16 at most.

--- a/src/libs/serving/backendexchange.cpp
+++ b/src/libs/serving/backendexchange.cpp
@@ -17,6 +17,12 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned maxInterimResponses = 16;
+
+bool isInterim(unsigned status)
+{
+    return http::to_status_class(status) == http::status_class::informational;
+}
 
 } // namespace
 
@@ -60,11 +66,18 @@
     , m_silenceLimit(silenceLimit)
     , m_watchdog(std::make_shared<watchdog>(m_connection.get(), silenceLimit))
 {
-    m_parser.header_limit(backend_connection::maxHeadBytes);
-    m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    startResponse();
     m_watchdog->arm();
 }
 
+void backend_exchange::startResponse()
+{
+    m_parser.emplace();
+    m_parser->header_limit(backend_connection::maxHeadBytes);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->skip(m_isHeadMethod);
+}
+
 backend_exchange::~backend_exchange()
 {
     m_watchdog->connection = nullptr;
@@ -79,8 +92,8 @@
     message.set(http::field::host, request.host);
     message.body() = request.body;
     message.prepare_payload();
-    if (message.method() == http::verb::head)
-        m_parser.skip(true);
+    m_isHeadMethod = message.method() == http::verb::head;
+    m_parser->skip(m_isHeadMethod);
     m_watchdog->touch();
     const auto [error, count] = co_await http::async_write(m_connection->stream, message, asTuple);
     if (!error)
@@ -92,29 +105,37 @@
 
 asio::awaitable<std::optional<answer_head>> backend_exchange::readHead()
 {
-    const auto [error, count]
-        = co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, asTuple);
-    m_watchdog->touch();
-    if (error) {
-        m_hasEndedUnanswered = error == http::error::end_of_stream || !m_parser.got_some();
-        fail(error);
-        co_return std::nullopt;
+    for (unsigned interimResponses = 0;; ++interimResponses) {
+        auto [error, count] = co_await http::async_read_header(
+            m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+        m_watchdog->touch();
+        if (!error && interimResponses > maxInterimResponses)
+            error = http::make_error_code(http::error::header_limit);
+        if (error) {
+            m_hasEndedUnanswered
+                = interimResponses == 0 && (error == http::error::end_of_stream || !m_parser->got_some());
+            fail(error);
+            co_return std::nullopt;
+        }
+        if (!isInterim(m_parser->get().result_int()))
+            break;
+        startResponse();
     }
     answer_head head;
-    head.status = static_cast<int>(m_parser.get().result_int());
-    for (const auto& field : m_parser.get())
+    head.status = static_cast<int>(m_parser->get().result_int());
+    for (const auto& field : m_parser->get())
         head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
     co_return head;
 }
 
 asio::awaitable<std::optional<std::string_view>> backend_exchange::readSome()
 {
-    while (!m_parser.is_done()) {
-        auto& body = m_parser.get().body();
+    while (!m_parser->is_done()) {
+        auto& body = m_parser->get().body();
         body.data = m_chunk.data();
         body.size = m_chunk.size();
         const auto [error, count]
-            = co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asTuple);
+            = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
         m_watchdog->touch();
         if (error && error != http::error::need_buffer) {
             fail(error);
@@ -131,7 +152,7 @@
 std::unique_ptr<backend_connection> backend_exchange::takeReusable()
 {
     m_watchdog->connection = nullptr;
-    if (!m_isDone || !m_parser.get().keep_alive())
+    if (!m_isDone || !m_parser->get().keep_alive())
         return nullptr;
     return std::move(m_connection);
 }
@@ -139,7 +160,7 @@
 void backend_exchange::fail(const boost::system::error_code& error)
 {
     const bool isTimeout = m_watchdog->hasFired;
-    const bool hasHead = m_parser.is_header_done();
+    const bool hasHead = m_parser->is_header_done();
     // The watchdog closes the socket, which aborts the call too; any other abort is a caller that has gone,
     // and must not count against the server.
     if (error == asio::error::operation_aborted && !isTimeout) {
--- a/src/libs/serving/backendexchange.h
+++ b/src/libs/serving/backendexchange.h
@@ -51,7 +51,8 @@
 
     /// Sends the request. Nothing: sent whole. A failure: an unknown part of it may have arrived.
     boost::asio::awaitable<std::optional<utils::failure>> send(const backend_request& request);
-    /// Precondition: sent. The head, or nothing with failure() set.
+    /// Precondition: sent. The head of the final response, or nothing with failure() set. Interim responses
+    /// are skipped, and fail where they are too many.
     boost::asio::awaitable<std::optional<answer_head>> readHead();
     /// Precondition: head read. The next bytes; empty at the whole answer's end; nothing with failure() set
     /// when it was cut.
@@ -64,16 +65,17 @@
     std::unique_ptr<backend_connection> takeReusable();
 
 private:
-    void armSilenceTimer();
+    void startResponse();
     void fail(const boost::system::error_code& error);
 
     std::unique_ptr<backend_connection> m_connection;
     std::chrono::milliseconds m_silenceLimit;
     struct watchdog;
     std::shared_ptr<watchdog> m_watchdog;
-    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     std::array<char, 4096> m_chunk;
     utils::failure m_failure;
+    bool m_isHeadMethod = false;
     bool m_isDone = false;
     bool m_hasEndedUnanswered = false;
 };
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -64,6 +64,14 @@
         asio::write(server, asio::buffer(bytes));
         return await(connection->readHead());
     }
+    /// The same, where the server ends the connection after these bytes; `isHead`: of a HEAD request.
+    boost::system::error_code readCutHead(const std::string& bytes, bool isHead)
+    {
+        connection->startWrite("GET / HTTP/1.1\r\n\r\n", nullptr, isHead);
+        asio::write(server, asio::buffer(bytes));
+        server.shutdown(tcp::socket::shutdown_send);
+        return await(connection->readHead());
+    }
     boost::system::error_code await(asio::awaitable<boost::system::error_code> reading)
     {
         std::optional<boost::system::error_code> result;
@@ -171,6 +179,29 @@
     }
 }
 
+// Guards against a response whose head stops half way and that is taken for a whole one without a body.
+BOOST_AUTO_TEST_CASE(cut_head_is_no_response)
+{
+    const std::string signature = "Lycheefront-Response-Signature: s.1\r\n";
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    const std::vector<std::string> heads { "HTTP/1.1 200 OK\r\n" + signature + "Content-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + signature + "Transfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + signature + "\r\n", "HTTP/1.1 204 No Content\r\n" + signature + "\r\n",
+        "HTTP/1.1 103 Early Hints\r\n" + signature + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" };
+    for (const std::string& head : heads) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            for (const bool isHead : { false, true }) {
+                full_connection fresh;
+                BOOST_TEST(fresh.readCutHead(head.substr(0, cut), isHead), head.substr(0, cut));
+                full_connection kept;
+                BOOST_REQUIRE(!kept.readHead(whole));
+                BOOST_REQUIRE(!kept.await(kept.readToEnd()));
+                BOOST_TEST(kept.readCutHead(head.substr(0, cut), isHead), head.substr(0, cut));
+            }
+        }
+    }
+}
+
 // Guards against work that grows with the square of the bytes received.
 BOOST_FIXTURE_TEST_CASE(smallest_chunks_are_read_as_they_come, full_connection)
 {
--- a/tests/auto/serving/tst_backendexchange.cpp
+++ b/tests/auto/serving/tst_backendexchange.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -53,7 +54,9 @@
         request.target = "/";
         request.host = "server";
         co_await exchange.send(request);
-        hasHead = (co_await exchange.readHead()).has_value();
+        const auto head = co_await exchange.readHead();
+        hasHead = head.has_value();
+        status = hasHead ? head->status : 0;
         while (hasHead) {
             const auto bytes = co_await exchange.readSome();
             if (!bytes)
@@ -66,6 +69,7 @@
     }
 
     bool hasHead = false;
+    int status = 0;
     bool isWhole = false;
     std::string detail; ///< of the failure
 };
@@ -89,4 +93,35 @@
     }
 }
 
+// Guards against a response whose head stops half way and that is taken for a whole one without a body.
+BOOST_AUTO_TEST_CASE(cut_head_is_no_response)
+{
+    const std::vector<std::string> heads { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" };
+    for (const std::string& head : heads) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            for (const std::string method : { "GET", "HEAD" }) {
+                const exchange_outcome outcome(method, head.substr(0, cut));
+                BOOST_TEST(!outcome.hasHead, method << ' ' << head.substr(0, cut));
+                BOOST_TEST(!outcome.isWhole);
+            }
+        }
+    }
+}
+
+// Guards against an interim response that is taken for the answer, or as many as a server likes to send.
+BOOST_AUTO_TEST_CASE(interim_responses_are_skipped)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n";
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    const exchange_outcome answered("GET", interim + interim + final);
+    BOOST_TEST(answered.status == 200);
+    BOOST_TEST(answered.isWhole);
+    std::string flood;
+    for (unsigned i = 0; i < 100; ++i)
+        flood += interim;
+    BOOST_TEST(!exchange_outcome("GET", flood + final).hasHead);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/platform/replicastandin.cpp
+++ b/tests/standins/platform/replicastandin.cpp
@@ -117,6 +117,24 @@
     m_cutAt = cutAt;
 }
 
+void replica_standin::setHeadCut(std::size_t cutAt, bool isInterim)
+{
+    const std::lock_guard lock(m_mutex);
+    m_headCutAt = cutAt;
+    m_isHeadInterim = isInterim;
+}
+
+std::string replica_standin::cutHead(const replica_request& request, const std::string& mark) const
+{
+    const bool isStream = request.target.starts_with("/chat/") || request.target.starts_with("/draft/");
+    std::string bytes = head(
+        200, request.id, mark + (isStream ? "Transfer-Encoding: chunked\r\n" : "Content-Length: 7\r\n"));
+    const std::lock_guard lock(m_mutex);
+    if (m_isHeadInterim)
+        bytes = "HTTP/1.1 103 X\r\n" + mark + "\r\n" + bytes;
+    return bytes.substr(0, m_headCutAt);
+}
+
 void replica_standin::setEventInterval(std::chrono::milliseconds interval)
 {
     const std::lock_guard lock(m_mutex);
@@ -340,6 +358,9 @@
     case replica_act::HeadOnly:
         bytes = head(200, decoded.id, mark) + "\r\n";
         break;
+    case replica_act::HeadCut:
+        bytes = cutHead(decoded, mark);
+        break;
     case replica_act::StreamUnframed:
         co_return co_await streamUnframed(socket, decoded, false);
     case replica_act::StreamUnframedCut:
@@ -362,7 +383,8 @@
     }
     }
     const bool isSent = co_await standins_common::sendBytes(socket, std::move(bytes));
-    co_return isSent&& act != replica_act::Unframed&& act != replica_act::HeadOnly;
+    co_return isSent&& act != replica_act::Unframed&& act != replica_act::HeadOnly&& act
+        != replica_act::HeadCut;
 }
 
 boost::asio::awaitable<bool> replica_standin::stream(
--- a/tests/standins/platform/replicastandin.h
+++ b/tests/standins/platform/replicastandin.h
@@ -35,6 +35,7 @@
     StreamUnframed, ///< a stream without length or chunks that ends with the connection
     StreamUnframedCut, ///< the same, but it ends in the middle of event `cutAt`
     HeadOnly, ///< 200 without length or chunks, and the connection ends before the body
+    HeadCut, ///< runs it and closes after the first `headCutAt` bytes of an answer's head
     Endless, ///< 200 whose body never ends
     ShedEndless, ///< says that it has not run it, in an answer whose body never ends, piece by piece
     HeadEndless, ///< runs it; the head of its answer never ends, line by line
@@ -86,6 +87,9 @@
     void setEventType(std::string type);
     /// Events of a stream, and the one in which StreamCut breaks off.
     void setEvents(unsigned events, unsigned cutAt);
+    /// Bytes of its head that HeadCut sends. The head has a length for plain answers, chunks for streams and,
+    /// if `isInterim`, an interim one before it.
+    void setHeadCut(std::size_t cutAt, bool isInterim);
     /// Time from one event of a stream to the next.
     void setEventInterval(std::chrono::milliseconds interval);
     /// From now on it accepts connections and requests, and sends nothing until resume().
@@ -121,6 +125,8 @@
     boost::asio::awaitable<bool> answer(
         standins_common::http_request& request, standins_common::tcp_socket& socket);
     std::string head(int status, const std::string& requestId, const std::string& more) const;
+    /// The bytes that HeadCut sends.
+    std::string cutHead(const replica_request& request, const std::string& mark) const;
     boost::asio::awaitable<bool> stream(
         standins_common::tcp_socket& socket, const replica_request& request, bool isCut);
     boost::asio::awaitable<bool> sendForever(
@@ -156,6 +162,8 @@
     replica_act m_act = replica_act::Answer;
     unsigned m_events = 5;
     unsigned m_cutAt = 3;
+    std::size_t m_headCutAt = 0;
+    bool m_isHeadInterim = false;
     std::string m_eventType;
     std::chrono::milliseconds m_eventInterval { 2 };
     bool m_isStalled = false;
