--- a/src/libs/decisions/serverchoice.cpp
+++ b/src/libs/decisions/serverchoice.cpp
@@ -3,6 +3,7 @@
 #include "utils/hashing.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <utility>
@@ -11,6 +12,10 @@
 
 namespace {
 
+constexpr std::array<std::string_view, static_cast<std::size_t>(choice_reason::Count_)> choiceReasons {
+    "cost", "spread", "above_bound"
+};
+
 /// Returns the parts that other requests may share: all but the last, which is the request's own.
 std::span<const prompt_part> sharedOf(std::span<const prompt_part> parts)
 {
@@ -71,6 +76,11 @@
 
 } // namespace
 
+std::string_view toString(choice_reason reason)
+{
+    return choiceReasons.at(static_cast<std::size_t>(reason));
+}
+
 std::optional<placement> server_choice::choose(const std::vector<server_candidate>& candidates,
     const placement_query& query, const server_loads& loads, utils::time_point now,
     std::vector<candidate_cost>* costs) const
@@ -116,20 +126,25 @@
     }
     const unheard_load unheard { loads.peerScale(now) - 1,
         peerRequests / static_cast<double>(totals.size()) };
-    std::vector<engine_view> views;
-    double sum = 0;
+    fleet_view fleet;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const server_candidate& candidate = candidates[i];
         const double requests = unheard.estimate(totals[i]);
-        sum += requests;
+        fleet.requests += requests;
         if (candidate.weight > 0)
-            views.push_back({ &candidate, totals[i], requests, heldTokens(candidate, query.parts),
+            fleet.engines.push_back({ &candidate, totals[i], requests, heldTokens(candidate, query.parts),
                 penaltyOf(candidate), false });
     }
-    const mean_loads means = meanLoads(sum, candidates.size(), query.excluded);
-    if (!views.empty())
-        boundEngines(views, means);
-    return { std::move(views), means.ofCandidates, sum };
+    const mean_loads means = meanLoads(fleet.requests, candidates.size(), query.excluded);
+    fleet.meanLoad = means.ofCandidates;
+    // Where so many engines are excluded that the others cannot stay within the bound, they exceed it evenly.
+    fleet.boundedMean = std::max(means.ofService, evenFactor * means.ofCandidates / boundFactor);
+    // Engines of low weight have the same bound: with a lower one, all engines could be above their bounds,
+    // and then the few engines without a penalty got all further requests.
+    fleet.bound = boundFactor * fleet.boundedMean + boundExtra;
+    if (!fleet.engines.empty())
+        boundEngines(fleet);
+    return fleet;
 }
 
 server_choice::mean_loads server_choice::meanLoads(
@@ -140,23 +155,26 @@
     return { requests / inUse, (requests + excluded.requests) / all };
 }
 
-void server_choice::boundEngines(std::vector<engine_view>& views, const mean_loads& means)
+void server_choice::boundEngines(fleet_view& fleet)
 {
-    // Where so many engines are excluded that the others cannot stay within the bound, they exceed it evenly.
-    const double mean = std::max(means.ofService, evenFactor * means.ofCandidates / boundFactor);
-    // Engines of low weight have the same bound: with a lower one, all engines could be above their bounds,
-    // and then the few engines without a penalty got all further requests.
-    const double bound = boundFactor * mean + boundExtra;
-    const double highLoad = highLoadFactor * mean + highLoadExtra;
-    const double highestPenalty = std::ranges::max(views, {}, &engine_view::penalty).penalty;
-    for (engine_view& view : views) {
+    const double highLoad = highLoadFactor * fleet.boundedMean + highLoadExtra;
+    const double highestPenalty = std::ranges::max(fleet.engines, {}, &engine_view::penalty).penalty;
+    for (engine_view& view : fleet.engines) {
         const double load = view.requests + 1;
-        view.isInBound = load <= bound;
+        view.isInBound = load <= fleet.bound;
         if (load > highLoad)
             view.penalty = highestPenalty;
     }
 }
 
+placement server_choice::placementAt(const engine_view& view, const fleet_view& fleet, choice_reason reason)
+{
+    placement placed { view.candidate->id, view.load, view.heldTokens };
+    placed.view = bound_view { view.requests, fleet.boundedMean, fleet.bound };
+    placed.reason = reason;
+    return placed;
+}
+
 const server_candidate* server_choice::presumedHolder(
     const std::vector<engine_view>& views, const placement_query& query)
 {
@@ -252,24 +270,29 @@
             costs->push_back({ *view.candidate, view.load, view.heldTokens, cost(view), view.isInBound });
     }
     if (const engine_view* chosen = engineOfSpread(fleet, query, loads, now)) {
-        const server_candidate& engine = *chosen->candidate;
-        return placement { engine.id, chosen->load, chosen->heldTokens,
-            costOf(*chosen, query, chosen->heldTokens), isUnexpected(engine.id, candidates, query.parts) };
+        placement spread = placementAt(*chosen, fleet, choice_reason::Spread);
+        spread.cost = costOf(*chosen, query, chosen->heldTokens);
+        spread.isUnexpected = isUnexpected(spread.server, candidates, query.parts);
+        return spread;
     }
-    std::optional<placement> best;
-    bool isBestInBound = false;
+    const engine_view* best = nullptr;
+    double bestCost = 0;
     for (const engine_view& view : views) {
-        if (best && isBestInBound && !view.isInBound)
+        if (best != nullptr && best->isInBound && !view.isInBound)
             continue;
         const double viewCost = cost(view);
-        if (!best || (view.isInBound && !isBestInBound) || viewCost < best->cost) {
-            best = placement { view.candidate->id, view.load, view.heldTokens, viewCost };
-            isBestInBound = view.isInBound;
+        if (best == nullptr || (view.isInBound && !best->isInBound) || viewCost < bestCost) {
+            best = &view;
+            bestCost = viewCost;
         }
     }
-    if (best)
-        best->isUnexpected = isUnexpected(best->server, candidates, query.parts);
-    return best;
+    if (best == nullptr)
+        return std::nullopt;
+    const choice_reason reason = best->isInBound ? choice_reason::Cost : choice_reason::AboveBound;
+    placement placed = placementAt(*best, fleet, reason);
+    placed.cost = bestCost;
+    placed.isUnexpected = isUnexpected(placed.server, candidates, query.parts);
+    return placed;
 }
 
 std::optional<cache_source> server_choice::sourceFor(const server_candidate& chosen,
--- a/src/libs/decisions/serverchoice.h
+++ b/src/libs/decisions/serverchoice.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -63,6 +64,24 @@
     std::uint32_t tokens = 0; ///< estimate of what it holds beyond what the copying engine holds
 };
 
+/// Why a server was chosen.
+enum class choice_reason : std::uint8_t {
+    Cost, ///< the least cost of the servers within the bound
+    Spread, ///< a shared part of the prompt is in much use
+    AboveBound, ///< the least cost of all, since all are above the bound
+    Count_
+};
+
+/// Name for logs, e.g. "cost". Thread safe.
+std::string_view toString(choice_reason reason);
+
+/// The bound on the load of an engine, as seen at a choice. All values are requests in progress.
+struct bound_view {
+    double load = 0; ///< of the chosen engine, with an estimate of the peers that were not heard
+    double mean = 0; ///< of the service
+    double bound = 0;
+};
+
 /// The chosen server and the figures behind the choice, for the log.
 struct placement {
     utils::server_id server;
@@ -70,6 +89,8 @@
     std::uint32_t heldTokens = 0; ///< estimate of the prompt tokens that the server holds in its cache
     double cost = 0; ///< of the chosen server: seconds for an engine, running requests for a plain service
     bool isUnexpected = false; ///< an engine that is not the first of the ranking for the shared parts
+    std::optional<bound_view> view = std::nullopt; ///< of an engine
+    choice_reason reason = choice_reason::Cost;
 };
 
 /// What a candidate would have cost, for the explanation of a choice.
@@ -207,6 +228,8 @@
         std::vector<engine_view> engines;
         double meanLoad = 0;
         double requests = 0; ///< of all candidates
+        double boundedMean = 0; ///< the mean from which the bound counts
+        double bound = 0;
     };
     fleet_view viewEngines(const std::vector<server_candidate>& candidates, const placement_query& query,
         const server_loads& loads, utils::time_point now) const;
@@ -225,7 +248,8 @@
     static bool isUnexpected(const utils::server_id& server, const std::vector<server_candidate>& candidates,
         std::span<const prompt_part> parts);
     /// Marks the engines within the bound, and gives highly loaded engines the largest penalty of all.
-    static void boundEngines(std::vector<engine_view>& views, const mean_loads& means);
+    static void boundEngines(fleet_view& fleet);
+    static placement placementAt(const engine_view& view, const fleet_view& fleet, choice_reason reason);
     static mean_loads meanLoads(double requests, std::size_t candidates, const excluded_servers& excluded);
     /// Returns the candidate that comes first in a ranking, whatever its weight; null if there is none.
     static const server_candidate* firstOfRanking(
--- a/src/libs/gateway/requests/requestlog.cpp
+++ b/src/libs/gateway/requests/requestlog.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iomanip>
 #include <sstream>
 
 namespace gateway {
@@ -34,6 +35,30 @@
     return text.str();
 }
 
+std::string tenthsText(double value)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << value;
+    return text.str();
+}
+
+void addPlacement(std::vector<utils::log_field>& fields, const decisions::placement& placement)
+{
+    const decisions::load_total& load = placement.load;
+    fields.push_back({ "load", std::to_string(load.requests) });
+    fields.push_back({ "load_age_ms", millisecondsText(load.age) });
+    fields.push_back({ "waiting_tokens", std::to_string(load.promptTokens) });
+    fields.push_back({ "held_tokens", std::to_string(placement.heldTokens) });
+    if (!placement.view)
+        return;
+    fields.push_back({ "peer_load", std::to_string(load.peerRequests) });
+    fields.push_back({ "load_reported", load.isReported ? "yes" : "no" });
+    fields.push_back({ "estimated_load", tenthsText(placement.view->load) });
+    fields.push_back({ "mean_load", tenthsText(placement.view->mean) });
+    fields.push_back({ "load_bound", tenthsText(placement.view->bound) });
+    fields.push_back({ "chosen_by", std::string(decisions::toString(placement.reason)) });
+}
+
 void addRefusal(std::vector<utils::log_field>& fields, const overload_forecast& forecast)
 {
     const decisions::admission_share& admission = forecast.admission;
@@ -81,10 +106,7 @@
         fields.push_back({ "server_version", result.serverVersion });
         if (result.isServerCold)
             fields.push_back({ "server_cold", "yes" });
-        fields.push_back({ "load", std::to_string(result.placement.load.requests) });
-        fields.push_back({ "load_age_ms", millisecondsText(result.placement.load.age) });
-        fields.push_back({ "waiting_tokens", std::to_string(result.placement.load.promptTokens) });
-        fields.push_back({ "held_tokens", std::to_string(result.placement.heldTokens) });
+        addPlacement(fields, result.placement);
         if (!result.copiedFrom.isEmpty())
             fields.push_back({ "copied_from", result.copiedFrom.str() });
     }
