A leaving node decides when it sends, by the deadline, and answers what is left at its end

Callers saw: requests that came late in the grace period of a planned stop were passed on and cut without an answer, payments among them. Cause: the decision was made by the arrival of the first byte and the route's timeout, so that a body which ended later was taken whenever it ended; and at the end all connections were closed without a word. Change: service_window::mayPassOn() is asked at the moment of each attempt, of the first, of repeats, by way of a peer, and after waits, with the deadline of the request; a request that may have run already, or whose answer has begun, goes on. With a short grace period requests of any deadline are taken for two fifths of the time until the exit, at most 2.9 s as before. A request that is still being read counts as in progress. At the end of the grace period, within the margin that is left for the exit, each request in progress gets an answer: 503 if it has not run, else 502. The tests of the window ask with the deadline that the timeout made before, at the same bounds; one is new for grace periods of 2, 4 and 12 s.

--- a/src/libs/decisions/servicewindow.cpp
+++ b/src/libs/decisions/servicewindow.cpp
@@ -1,5 +1,7 @@
 #include "servicewindow.h"
 
+#include <algorithm>
+
 namespace decisions {
 
 namespace {
@@ -35,9 +37,12 @@
     return isIdle ? stop_phase::Done : stop_phase::Closing;
 }
 
-bool service_window::mayAccept(utils::duration timeout, utils::time_point now) const
+bool service_window::mayPassOn(utils::time_point deadline, utils::time_point now) const
 {
-    return !m_isStopping || now < m_stopAt + m_limits.leavingPeriod || now + timeout <= endsAt();
+    const utils::duration untilExit = m_limits.grace - m_limits.margin;
+    const utils::duration anyDeadlinePeriod = std::min(
+        m_limits.leavingPeriod, utils::fromSeconds(m_limits.anyDeadlineShare * utils::toSeconds(untilExit)));
+    return !m_isStopping || deadline <= endsAt() || now < m_stopAt + anyDeadlinePeriod;
 }
 
 } // namespace decisions
--- a/src/libs/decisions/servicewindow.h
+++ b/src/libs/decisions/servicewindow.h
@@ -10,7 +10,7 @@
 enum class stop_phase {
     None,
     Leaving, ///< the balancer is notified; serves arriving requests, then closes their connections
-    Closing, ///< only requests whose timeout ends before the process exits are accepted
+    Closing, ///< only requests whose deadline is before the process exits are passed on
     Done
 };
 
@@ -23,6 +23,9 @@
     /// Length of the Leaving phase. The balancer probes once a second and needs two failed probes; the rest,
     /// most of a second, is for connections on their way.
     utils::duration leavingPeriod = std::chrono::milliseconds(2900);
+    /// Part of the time until the process exits in which requests are passed on whatever their deadline, at
+    /// most the Leaving phase. The rest is for them to end.
+    double anyDeadlineShare = 0.4;
     /// Longest time that a starting node waits for its configuration. Reading it takes some 50 ms; an eighth
     /// of the callers' latency targets is 40 to 180 ms.
     utils::duration startupWait = std::chrono::milliseconds(300);
@@ -34,7 +37,7 @@
 /// no configuration for some ten ms while many callers wait; if it refused them, they would retry half a
 /// second later although the node was ready almost at once. A node that shuts down still gets requests when
 /// few other nodes are left in its data centre. Refusing all of them would use up their callers' retries,
-/// although the grace period is many times longer than a short request. A long request must not be accepted:
+/// although the grace period is many times longer than a short request. A long request must not be passed on:
 /// the process would exit before it ends. Not thread safe.
 class service_window {
 public:
@@ -52,10 +55,11 @@
     /// Begins the shutdown, on the stop signal. Later calls have no effect.
     void beginStop(utils::time_point now);
     bool isStopping() const { return m_isStopping; }
-    /// `requestsInProgress`: in-flight requests of this node.
+    /// `requestsInProgress`: in-flight requests of this node, those included that are still being read.
     stop_phase phase(std::uint64_t requestsInProgress, utils::time_point now) const;
-    /// Whether to accept a request with that timeout.
-    bool mayAccept(utils::duration timeout, utils::time_point now) const;
+    /// Whether a request with that deadline may be sent to a backend server now. To be asked for each
+    /// attempt: a request may have taken long to arrive, or waited.
+    bool mayPassOn(utils::time_point deadline, utils::time_point now) const;
 
 private:
     utils::time_point endsAt() const { return m_stopAt + m_limits.grace - m_limits.margin; }
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -298,6 +298,8 @@
     /// heartbeat, and all would fill the same backend server.
     utils::duration nextInterval()
     {
+        if (m_endsAt != utils::time_point())
+            return endCheckInterval;
         const std::uint64_t sent
             = m_context.sentRequests - std::exchange(m_sentAtLastHeartbeat, m_context.sentRequests);
         const utils::duration wanted = sent == 0
@@ -361,7 +363,12 @@
     void advanceStop(utils::time_point present)
     {
         using decisions::stop_phase;
-        const stop_phase phase = m_context.window.phase(m_context.requestsInProgress, present);
+        const auto isReading = [](const std::weak_ptr<session>& weak) {
+            const auto open = weak.lock();
+            return open && open->isReading();
+        };
+        const auto reading = static_cast<std::uint64_t>(std::ranges::count_if(m_sessions, isReading));
+        const stop_phase phase = m_context.window.phase(m_context.requestsInProgress + reading, present);
         if (phase == stop_phase::Closing) {
             for (const auto& weak : m_sessions) {
                 if (const auto open = weak.lock())
@@ -370,6 +377,15 @@
         }
         if (phase != stop_phase::Done || m_isDone)
             return;
+        if (m_endsAt == utils::time_point()) {
+            m_endsAt = present + lastAnswersTime;
+            for (const auto& weak : m_sessions) {
+                if (const auto open = weak.lock())
+                    open->endRequest();
+            }
+        }
+        if (m_context.requestsInProgress > 0 && present < m_endsAt)
+            return;
         m_isDone = true;
         for (const auto& weak : m_sessions) {
             if (const auto open = weak.lock())
@@ -477,6 +493,10 @@
     static constexpr utils::duration heartbeatInterval = std::chrono::milliseconds(250);
     static constexpr utils::duration minHeartbeatInterval = std::chrono::milliseconds(60);
     static constexpr std::int64_t requestsPerHeartbeat = 8;
+    // For the answers to the requests that are in progress at the end of the grace period, within the margin
+    // that is left for the exit.
+    static constexpr utils::duration lastAnswersTime = std::chrono::milliseconds(200);
+    static constexpr utils::duration endCheckInterval = std::chrono::milliseconds(20);
     // A process under a CPU quota often stalls for a tenth of a second; the shortest latency target of
     // callers is 0.3 s.
     static constexpr utils::duration timerLagLogThreshold = std::chrono::milliseconds(150);
@@ -513,6 +533,8 @@
     std::optional<double> m_peerRequests; ///< in progress at a peer, in the mean; nothing: no peer is heard
     decisions::accept_rounds m_acceptRounds; ///< of callers' connections
     std::uint64_t m_acceptedConnections = 0; ///< from callers
+    utils::time_point
+        m_endsAt {}; ///< the last answers are written by then; not set before the end of the grace period
     bool m_isDone = false;
     std::function<void()> m_onDone;
 };
--- a/src/libs/gateway/requests/attempt.h
+++ b/src/libs/gateway/requests/attempt.h
@@ -16,7 +16,7 @@
     Silent, ///< sent, but no data arrived before the timeout: it may have run
     Garbled, ///< sent, but the response is invalid: it may have run
     Answered, ///< the caller has the complete response
-    Stopped, ///< given up: the caller closed its connection or the deadline passed
+    Stopped, ///< given up: the caller closed its connection, the deadline passed or this node ends
     Count_
 };
 
--- a/src/libs/gateway/requests/callerconnection.cpp
+++ b/src/libs/gateway/requests/callerconnection.cpp
@@ -59,7 +59,9 @@
     }
     const utils::time_point arrivedAt = now();
     startTimer(limits.headerTimeout);
+    m_isReading = true;
     read_outcome outcome = co_await readHead(limits);
+    m_isReading = false;
     stopTimer();
     outcome.arrivedAt = arrivedAt;
     co_return outcome;
--- a/src/libs/gateway/requests/callerconnection.h
+++ b/src/libs/gateway/requests/callerconnection.h
@@ -58,6 +58,8 @@
     /// Stops waiting for a request, if the connection is idle; a request whose bytes were read already is
     /// processed.
     void endIfIdle();
+    /// Whether a request has begun to arrive and is not complete.
+    bool isReading() const { return m_isReading; }
     /// Closes the connection after the caller had time to read what was written.
     boost::asio::awaitable<void> closeGracefully();
     /// Closes the connection with a reset, so that a partial response does not look complete.
@@ -81,6 +83,7 @@
     std::uint64_t m_watchGeneration = 0;
     std::uint64_t m_timerGeneration = 0;
     bool m_isIdle = false;
+    bool m_isReading = false;
     bool m_hasTimedOut = false;
 };
 
--- a/src/libs/gateway/requests/clientsession.h
+++ b/src/libs/gateway/requests/clientsession.h
@@ -50,6 +50,14 @@
 
     /// Closes the connection if no request is in progress on it.
     void closeIfIdle() { m_connection->endIfIdle(); }
+    /// Whether a request has begun to arrive and is not complete.
+    bool isReading() const { return m_connection->isReading(); }
+    /// Ends the request in progress, if there is one, with an answer that tells whether it may have run.
+    void endRequest()
+    {
+        if (const auto scope = m_scope.lock())
+            scope->stop(stop_reason::NodeEnds);
+    }
     /// Logs the request in progress, if there is one, because the process ends.
     void reportUnfinished(utils::time_point now) { reportCut(cut_cause::ProcessEnd, {}, now); }
 
@@ -189,6 +197,7 @@
             co_return result;
         }
         const auto scope = std::make_shared<stop_scope>(m_context.executor);
+        m_scope = scope;
         scope->setDeadline(plan.deadline, now());
         m_connection->watch([scope] { scope->stop(stop_reason::CallerGone); });
         // A caller that does not read blocks the stream, so at the deadline its connection is reset.
@@ -244,6 +253,7 @@
     flow_services m_services;
     std::uint64_t m_receiver;
     std::shared_ptr<caller_connection> m_connection;
+    std::weak_ptr<stop_scope> m_scope; ///< of the request in progress
     const client_request* m_request = nullptr; ///< in progress; null: none
     const response_writer* m_writer = nullptr; ///< of that request
 };
--- a/src/libs/gateway/requests/cutanswer.cpp
+++ b/src/libs/gateway/requests/cutanswer.cpp
@@ -26,6 +26,8 @@
         return cut_cause::Deadline;
     if (stopReason == stop_reason::CallerGone)
         return cut_cause::CallerGone;
+    if (stopReason == stop_reason::NodeEnds)
+        return cut_cause::ProcessEnd;
     switch (lastSent) {
     case attempt_outcome::Silent:
         return cut_cause::ServerSilent;
--- a/src/libs/gateway/requests/flowresult.h
+++ b/src/libs/gateway/requests/flowresult.h
@@ -31,6 +31,7 @@
     utils::duration viewAge {}; ///< age of the view of the backend servers at the last attempt
     utils::duration viewBehind {}; ///< time since changes were known to be missing then
     bool isViewTooOld = false; ///< the view was too old to send anything more
+    bool isTooLateToSend = false; ///< this node ends before the deadline of the request
     std::optional<overload_refusal> refused; ///< because of overload, before anything was sent
     std::optional<decisions::part_finding> crashFinding; ///< why the request was not sent (again)
     utils::server_id copiedFrom; ///< the engine that the last attempt was told to copy from; empty: none
--- a/src/libs/gateway/requests/requestflow.h
+++ b/src/libs/gateway/requests/requestflow.h
@@ -78,7 +78,8 @@
         while (!m_result.crashFinding && m_result.origin.source != decisions::origin_source::Unknown
             && m_scope->checkDeadline(now()) == stop_reason::None) {
             recordViewAge();
-            if (m_result.isViewTooOld)
+            recordStop();
+            if (m_result.isViewTooOld || m_result.isTooLateToSend)
                 break;
             bool mayGoOn = false;
             std::optional<secured_attempt> secured = m_replacement.takeSecured();
@@ -249,7 +250,8 @@
             if (!m_connectError.empty())
                 co_return attempt_outcome::NotSent;
         }
-        if (m_scope->checkDeadline(now()) != stop_reason::None) {
+        recordStop();
+        if (m_scope->checkDeadline(now()) != stop_reason::None || m_result.isTooLateToSend) {
             m_forwarder.putConnection(peer, connection, now());
             co_return attempt_outcome::NotSent;
         }
@@ -371,6 +373,14 @@
         m_result.isViewTooOld = m_context.isViewTooOld(present);
     }
 
+    /// A leaving node sends nothing that its process may not see the end of, unless the request may have run
+    /// already: then one more attempt may still bring the answer in time.
+    void recordStop()
+    {
+        m_result.isTooLateToSend = m_record.hasProvablyNotRun() && !m_writer.hasBegun()
+            && !m_context.window.mayPassOn(m_plan.deadline, now());
+    }
+
     failed_attempt describeFailure(utils::time_point startedAt)
     {
         failed_attempt attempt { m_result.server, m_result.serverVersion, m_result.forwardedTo,
@@ -404,9 +414,10 @@
         // may be evacuated, requests like it may have crashed servers, and another request may have taken
         // this node's part of what a cold server takes.
         recordViewAge();
+        recordStop();
         const catalogue::backend_server* entry = m_context.servers.find(server);
         if (entry == nullptr || !maySendTo(m_context, m_plan, *entry, m_result.streamVersion, now())
-            || m_result.isViewTooOld || !isStillAdmitted()) {
+            || m_result.isViewTooOld || m_result.isTooLateToSend || !isStillAdmitted()) {
             m_context.pool.put(server, connection, now());
             co_return attempt_outcome::NotSent;
         }
--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -233,7 +233,10 @@
         plan.regions = commonRegions(plan.route->regions, workspace->regions);
         plan.urgency = plan.configuration->urgencyOf(*plan.route, workspace);
     }
-    if (!context.window.mayAccept(plan.route->timeout, request.arrivedAt))
+    const utils::duration callerTimeout = request.callerTimeout.value_or(plan.route->timeout);
+    plan.callerDeadline = request.arrivedAt + callerTimeout;
+    plan.deadline = request.arrivedAt + std::min(callerTimeout, plan.route->timeout);
+    if (!context.window.mayPassOn(plan.deadline, now))
         return utils::fail(error_kind::ShuttingDown, "this node is leaving");
     plan.service = pickService(*plan.route, utils::hash64(request.requestId));
     const catalogue::service* service = plan.configuration->findService(plan.service);
@@ -249,9 +252,6 @@
         plan.outputHint = request.outputHint;
     }
     plan.suspects = decisions::suspectsOf(plan.sharedParts(), digestOf(request, plan.workspace));
-    const utils::duration callerTimeout = request.callerTimeout.value_or(plan.route->timeout);
-    plan.callerDeadline = request.arrivedAt + callerTimeout;
-    plan.deadline = request.arrivedAt + std::min(callerTimeout, plan.route->timeout);
     return plan;
 }
 
--- a/src/libs/gateway/requests/requestwaits.cpp
+++ b/src/libs/gateway/requests/requestwaits.cpp
@@ -102,6 +102,10 @@
         kind = utils::error_kind::QueueFull;
     if (result.isViewTooOld && hasNotRun)
         kind = utils::error_kind::NodeNotCurrent;
+    if ((result.isTooLateToSend || result.stopReason == stop_reason::NodeEnds) && hasNotRun)
+        kind = utils::error_kind::ShuttingDown;
+    else if (result.stopReason == stop_reason::NodeEnds)
+        kind = utils::error_kind::AnswerCut;
     if (result.stopReason == stop_reason::DeadlineExceeded)
         kind = hasNotRun ? utils::error_kind::DeadlineUnreachable : utils::error_kind::ServerTimeout;
     if (result.refused)
--- a/src/libs/gateway/requests/stopscope.h
+++ b/src/libs/gateway/requests/stopscope.h
@@ -13,7 +13,8 @@
 enum class stop_reason {
     None,
     CallerGone,
-    DeadlineExceeded ///< the timeout of the route or of the caller has passed
+    DeadlineExceeded, ///< the timeout of the route or of the caller has passed
+    NodeEnds ///< the grace period of this node's shutdown is over
 };
 
 /// Stops a request when its caller leaves or its deadline passes: aborts the connection to the backend
--- a/tests/auto/decisions/tst_servicewindow.cpp
+++ b/tests/auto/decisions/tst_servicewindow.cpp
@@ -31,7 +31,8 @@
     for (utils::duration since {}; since < 7400ms; since += 10ms) {
         const bool isShort = random() % 3 != 0;
         const utils::duration timeout = isShort ? 800ms : 12s;
-        const bool isAccepted = acceptsShort ? window.mayAccept(timeout, at(10s + since)) : since < 2900ms;
+        const bool isAccepted
+            = acceptsShort ? window.mayPassOn(at(10s + since + timeout), at(10s + since)) : since < 2900ms;
         count.all += isAccepted ? 0 : 1;
         count.shortRequests += !isAccepted && isShort ? 1 : 0;
     }
@@ -60,12 +61,12 @@
 BOOST_AUTO_TEST_CASE(a_leaving_node_accepts_requests_that_end_in_time)
 {
     service_window window({}, at(0s));
-    BOOST_TEST(window.mayAccept(12s, at(9s)));
+    BOOST_TEST(window.mayPassOn(at(21s), at(9s)));
     window.beginStop(at(10s));
-    BOOST_TEST(window.mayAccept(12s, at(12899ms)));
-    BOOST_TEST(!window.mayAccept(12s, at(12900ms)));
-    BOOST_TEST(window.mayAccept(800ms, at(16600ms)));
-    BOOST_TEST(!window.mayAccept(800ms, at(16601ms)));
+    BOOST_TEST(window.mayPassOn(at(24899ms), at(12899ms)));
+    BOOST_TEST(!window.mayPassOn(at(24900ms), at(12900ms)));
+    BOOST_TEST(window.mayPassOn(at(17400ms), at(16600ms)));
+    BOOST_TEST(!window.mayPassOn(at(17401ms), at(16601ms)));
     const refused_requests strict = refusedDuringShutdown(false);
     const refused_requests selective = refusedDuringShutdown(true);
     BOOST_TEST_MESSAGE(
@@ -83,12 +84,31 @@
     window.beginStop(at(10s));
     for (utils::duration since = limits.leavingPeriod; since < limits.grace; since += 50ms) {
         for (utils::duration timeout = 100ms; timeout < 9s; timeout += 100ms) {
-            if (window.mayAccept(timeout, at(10s + since)))
+            if (window.mayPassOn(at(10s + since + timeout), at(10s + since)))
                 BOOST_TEST((window.phase(1, at(10s + since + timeout - 1us)) != stop_phase::Done));
         }
     }
 }
 
+// Guards against long requests that a node with a short grace period takes right before its process exits.
+BOOST_AUTO_TEST_CASE(a_short_grace_period_leaves_time_for_what_was_passed_on)
+{
+    for (const utils::duration grace : { utils::duration(2s), utils::duration(4s), utils::duration(12s) }) {
+        window_limits limits;
+        limits.grace = grace;
+        service_window window(limits, at(0s));
+        window.beginStop(at(10s));
+        utils::duration lastTaken {};
+        for (utils::duration since {}; since < grace; since += 10ms) {
+            if (window.mayPassOn(at(10s + since + 60s), at(10s + since)))
+                lastTaken = since;
+        }
+        BOOST_TEST(utils::toSeconds(lastTaken) <= utils::toSeconds(limits.leavingPeriod));
+        BOOST_TEST(utils::toSeconds(lastTaken) <= 0.5 * utils::toSeconds(grace - limits.margin));
+        BOOST_TEST(window.mayPassOn(at(10s + grace - limits.margin), at(10s + lastTaken + 20ms)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(phases_follow_each_other)
 {
     service_window window({}, at(0s));
