Test of a node that stood still while a version joined; a lasting herd in the histories

Guards against streams that go on at another version at a node that takes what waited for it for the present.

--- a/tests/auto/decisions/tst_partherds.cpp
+++ b/tests/auto/decisions/tst_partherds.cpp
@@ -45,6 +45,19 @@
         checkHerds({ .nodes = 300, .engines = 240, .herd = 600, .herdSeconds = seconds, .herds = 1 });
 }
 
+// The same where the herd makes up a third of all requests for some seconds, so that what else the engines get
+// by chance comes on top of it.
+BOOST_AUTO_TEST_CASE(a_lasting_herd_leaves_room_at_its_engines)
+{
+    for (const double seconds : { 1.5, 3.0 })
+        checkHerds({ .nodes = 300,
+            .engines = 240,
+            .requestsPerEngine = 4.5,
+            .herd = 2000,
+            .herdSeconds = seconds,
+            .herds = 1 });
+}
+
 // The same for a part that all nodes know to be held by an engine.
 BOOST_AUTO_TEST_CASE(a_herd_with_a_part_that_is_held_keeps_the_load_limit)
 {
--- a/tests/auto/gateway/tst_streamversions.cpp
+++ b/tests/auto/gateway/tst_streamversions.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <future>
 #include <map>
 #include <set>
+#include <thread>
 
 using platform_standin::eventsUpTo;
 using platform_standin::eventText;
@@ -135,12 +137,16 @@
     }
     /// Takes the stream up as a caller does that has `resumedAfter` events of it.
     http_reply resume(std::size_t nodeIndex, const std::string& resumes)
+    {
+        return ask(node(nodeIndex), resumption(resumes));
+    }
+    http_question resumption(const std::string& resumes)
     {
         http_question asked = chat();
         asked.headers["Last-Event-Id"] = std::to_string(resumedAfter);
         if (!resumes.empty())
             asked.headers["Resumes"] = resumes;
-        return ask(node(nodeIndex), asked);
+        return asked;
     }
     /// Streams of which engines of more than one version have sent events, by what the engines got.
     std::set<std::string> mixedStreams()
@@ -375,6 +381,48 @@
     BOOST_TEST(world.mixedStreams().size() == 0u);
 }
 
+// Guards against a node that stood still while a version joined, and takes what waited for it meanwhile for
+// the present: streams of the new version go on at another one there.
+BOOST_AUTO_TEST_CASE(node_that_stood_still_does_not_guess)
+{
+    constexpr std::size_t still = nodes - 1;
+    constexpr unsigned rounds = 3;
+    for (unsigned round = 0; round < rounds; ++round) {
+        version_testbed world({ "v1" }, { true, store_mode::Serve });
+        world.node(still).process->sendSignal(SIGSTOP);
+        // By then the node has missed some heartbeats and answers of the store that tell nothing new.
+        std::this_thread::sleep_for(std::chrono::milliseconds(300 * round));
+        for (std::size_t i = engines / 2; i < engines; ++i) {
+            world.withdraw(world.engine(i));
+            world.announceEngine(i, "v1.1");
+        }
+        std::vector<version_testbed::begun_stream> begun;
+        while (begun.size() < streams) {
+            const auto stream = world.begin(begun.size() % still);
+            if (stream.version == "v1.1")
+                begun.push_back(stream);
+        }
+        std::vector<std::future<http_reply>> replies;
+        for (std::size_t i = 0; i < begun.size(); ++i) {
+            const std::string resumes = i % 2 == 0 ? begun[i].requestId : std::string();
+            replies.push_back(std::async(std::launch::async, [&world, question = world.resumption(resumes)] {
+                return world.ask(world.node(still), question);
+            }));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200)); // all of them wait in its backlog
+        world.node(still).process->sendSignal(SIGCONT);
+        unsigned wentOn = 0;
+        for (std::future<http_reply>& reply : replies) {
+            const http_reply answer = reply.get();
+            BOOST_TEST((answer.status == 503 || world.versionOf(answer) == "v1.1"));
+            wentOn += answer.status == 200 ? 1 : 0;
+        }
+        BOOST_TEST_MESSAGE(wentOn << " of " << begun.size() << " streams went on");
+        BOOST_TEST(wentOn > 0u);
+        BOOST_TEST(world.mixedStreams().size() == 0u);
+    }
+}
+
 // Guards against callers that learn of, or gain by, the streams of others.
 BOOST_AUTO_TEST_CASE(stream_of_another_route_is_of_unknown_origin)
 {
