High reports of engines on their load are passed on to all nodes

Cause: in a fleet of hundreds a node hears the requests of one peer in six. An engine tells its load with each answer, to the node that asked only. Change: load_notices. A node that gets a report above the bound it saw at its last choice tells all nodes, unless one of them has done so within 200 ms, at most four times in 200 ms; only where heartbeats do not reach all. The others take it as a report of the engine. Metric lycheefront_load_notices_total.

--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -128,6 +128,7 @@
         events.onRestMessage = [this](const rest_message& message) { m_notices.onMessage(message, now()); };
         events.onWorkMessage = [this](const work_message& message) { m_work.onMessage(message, now()); };
         events.onCrowdMessage = [this](const crowd_message& message) { m_crowds.onMessage(message, now()); };
+        events.onLoadMessage = [this](const load_message& message) { m_notices.onMessage(message, now()); };
         events.makeCopy = [this](const view_request& request) { return m_viewUpdater.copy(request, now()); };
         return events;
     }
--- a/src/libs/gateway/nodecontext.cpp
+++ b/src/libs/gateway/nodecontext.cpp
@@ -76,12 +76,11 @@
     return work.try_emplace(service, initialOccupancy(service)).first->second;
 }
 
-double node_context::crowdShareOf(const std::string& service) const
+double node_context::crowdShareOf(const std::string& service)
 {
-    const auto share = crowdShares.find(service);
-    return share == crowdShares.end()
-        ? decisions::server_choice::crowdShare * decisions::server_choice::boundExtra
-        : share->second;
+    const decisions::bound_view idle { 0, 0, decisions::server_choice::boundExtra };
+    const decisions::bound_view& view = boundViews.try_emplace(service, idle).first->second;
+    return decisions::server_choice::crowdShareOf(view, responseTimesOf(service));
 }
 
 utils::duration node_context::initialOccupancy(const std::string& service) const
--- a/src/libs/gateway/nodecontext.h
+++ b/src/libs/gateway/nodecontext.h
@@ -93,7 +93,7 @@
     std::map<std::string, decisions::load_shedder> shedders; ///< by service
     std::map<std::string, decisions::overload_control> overload; ///< by service
     std::map<std::string, decisions::request_work> work; ///< by service
-    std::map<std::string, double> crowdShares; ///< by service, as of the last choice
+    std::map<std::string, decisions::bound_view> boundViews; ///< by service, as of the last choice
     std::size_t peerCount = 0; ///< other nodes that this one knows
     decisions::loop_delay loopDelay; ///< of this node's event loop
     decisions::crashing_parts crashingParts;
@@ -117,7 +117,7 @@
     /// Statistics of the time that requests of a service hold a slot.
     decisions::request_work& workOf(const std::string& service);
     /// Requests with one part that an engine of the service should get, see decisions::crowd_register.
-    double crowdShareOf(const std::string& service) const;
+    double crowdShareOf(const std::string& service);
     /// How long a request of that urgency waits for a slot at a backend server to which `requests` were sent
     /// before it.
     utils::duration slotWait(const std::string& service, const catalogue::backend_server& server,
--- a/src/libs/gateway/nodemetrics.cpp
+++ b/src/libs/gateway/nodemetrics.cpp
@@ -59,6 +59,8 @@
         "Streams resumed by callers, by service, source of the origin and end");
     counter_family& crowdPlaces = counters("lycheefront_crowd_places_total",
         "Requests with a shared part, by service and what the home of the part has said");
+    counter_family& loadNotices = counters("lycheefront_load_notices_total",
+        "Reports of engines above the bound on their load that were passed on to all nodes, by service");
     counter_family& coldRequests
         = counters("lycheefront_cold_requests_total", "Requests sent to backend servers that were cold");
     counter_family& rests = counters(
@@ -192,6 +194,11 @@
         .Increment();
 }
 
+void node_metrics::countLoadNotice(std::string_view service)
+{
+    d->loadNotices.Add({ { "service", str(service) } }).Increment();
+}
+
 void node_metrics::countColdRequest(std::string_view service)
 {
     d->coldRequests.Add({ { "service", str(service) } }).Increment();
--- a/src/libs/gateway/nodemetrics.h
+++ b/src/libs/gateway/nodemetrics.h
@@ -78,6 +78,8 @@
     /// Counts a request with a shared part, by whether it gets an engine further down the part's ranking, and
     /// whether the part's home has said so.
     void countCrowdPlace(std::string_view service, bool isFurther, bool isAnswered);
+    /// Counts a report of an engine on its load that was passed on to all nodes.
+    void countLoadNotice(std::string_view service);
     /// Counts a request that is sent to a cold backend server.
     void countColdRequest(std::string_view service);
     /// Counts an answer in which a backend server asks for rest.
--- a/src/libs/gateway/peers/peerlink.cpp
+++ b/src/libs/gateway/peers/peerlink.cpp
@@ -120,6 +120,11 @@
                 m_events.onCrowdMessage(*message);
             continue;
         }
+        if (detail::isMessage<load_message>(datagram)) {
+            if (const auto message = detail::decodeMessage<load_message>(datagram))
+                m_events.onLoadMessage(*message);
+            continue;
+        }
         const auto heartbeat = decodeHeartbeat(datagram);
         if (heartbeat)
             m_events.onHeartbeat(*heartbeat);
--- a/src/libs/gateway/peers/peerlink.h
+++ b/src/libs/gateway/peers/peerlink.h
@@ -6,6 +6,7 @@
 #include "streammessages.h"
 
 #include "gateway/load/crowdmessage.h"
+#include "gateway/load/loadmessage.h"
 #include "gateway/load/workmessage.h"
 
 #include "decisions/copygate.h"
@@ -46,6 +47,7 @@
     std::function<void(const rest_message&)> onRestMessage;
     std::function<void(const work_message&)> onWorkMessage;
     std::function<void(const crowd_message&)> onCrowdMessage;
+    std::function<void(const load_message&)> onLoadMessage;
     std::function<view_copy(const view_request&)> makeCopy;
 };
 
--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -329,8 +329,7 @@
         return context.choice.choose(candidates, query, context.loads, now, &constraints.trace->costs);
     const auto chosen = context.choice.choose(candidates, query, context.loads, now);
     if (chosen && chosen->view)
-        context.crowdShares[plan.service]
-            = decisions::server_choice::crowdShareOf(*chosen->view, query.times);
+        context.boundViews[plan.service] = *chosen->view;
     return chosen;
 }
 
--- a/src/libs/gateway/requests/responserelay.h
+++ b/src/libs/gateway/requests/responserelay.h
@@ -95,7 +95,7 @@
         connection->idleLimit = response.idleLimit;
         const utils::server_id& server = target.process.id;
         if (response.load)
-            m_context.loads.recordReport(server, response.load->running, response.load->waiting, now());
+            m_notices.heardLoad(m_plan.service, server, *response.load, now());
         if (response.load && response.load->slowdown)
             m_context.pace.reported(server, *response.load->slowdown, now());
         m_context.rejections.recordAnswer(m_plan.service, response.rejectionsPerSecond, now());
--- a/src/libs/gateway/servers/servernotices.cpp
+++ b/src/libs/gateway/servers/servernotices.cpp
@@ -61,6 +61,33 @@
     utils::logEvent(utils::event::ServerLeaves, fields);
 }
 
+void server_notices::onMessage(const load_message& message, utils::time_point now)
+{
+    const utils::server_id server(message.server);
+    if (m_context.servers.find(server) == nullptr)
+        return;
+    m_loadNotices.heard(server, now);
+    m_context.loads.recordReport(server, message.requests, 0, now);
+}
+
+void server_notices::heardLoad(const std::string& service, const utils::server_id& server,
+    const reported_load& load, utils::time_point now)
+{
+    m_context.loads.recordReport(server, load.running, load.waiting, now);
+    // Where the heartbeats of all peers are heard, their loads show the same. Of plain services there is no
+    // view.
+    const auto view = m_context.boundViews.find(service);
+    if (view == m_context.boundViews.end() || m_context.loads.peerScale(now) <= 1
+        || !m_loadNotices.mustTell(server, load.running + load.waiting, view->second, now)
+        || server.str().size() > load_message::maxServerLength)
+        return;
+    const std::string datagram
+        = detail::encodeMessage(load_message { server.str(), load.running + load.waiting });
+    for (const std::string& address : m_peers.knownAddresses())
+        m_send(address, datagram);
+    m_context.metrics.countLoadNotice(service);
+}
+
 void server_notices::onMessage(const rest_message& message, utils::time_point now)
 {
     // Of other servers nothing has to be known.
@@ -72,6 +99,7 @@
 {
     m_context.rests.setNodes(m_peers.knownNodes());
     m_context.rests.expire(now);
+    m_loadNotices.expire(now);
 }
 
 void server_notices::sendUpdates()
--- a/src/libs/gateway/servers/servernotices.h
+++ b/src/libs/gateway/servers/servernotices.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "gateway/load/loadmessage.h"
 #include "gateway/nodecontext.h"
 #include "gateway/peers/peertable.h"
 #include "gateway/peers/restmessage.h"
 #include "gateway/requests/messages.h"
 
+#include "decisions/loadnotices.h"
+
 #include <functional>
 #include <string>
 
@@ -38,10 +41,15 @@
 
     /// Takes the head of an answer.
     void heard(const heard_answer& answer, const server_response& response, utils::time_point now);
+    /// Takes what a server of the service says of its load, and tells all nodes if it is an engine that has
+    /// more than it should.
+    void heardLoad(const std::string& service, const utils::server_id& server, const reported_load& load,
+        utils::time_point now);
     /// A server has said that it leaves, in an answer that came by way of that peer; empty: by itself.
     void heardLeaving(const heard_answer& answer, const std::string& peer, utils::time_point now);
     /// Handles a peer's datagram.
     void onMessage(const rest_message& message, utils::time_point now);
+    void onMessage(const load_message& message, utils::time_point now);
     /// To be called at each heartbeat of this node.
     void tick(utils::time_point now);
 
@@ -54,6 +62,7 @@
     node_context& m_context;
     const peer_table& m_peers;
     send_function m_send;
+    decisions::load_notices m_loadNotices;
 };
 
 } // namespace gateway
--- a/tests/auto/decisions/herdhistory.h
+++ b/tests/auto/decisions/herdhistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/crowdregister.h"
+#include "decisions/loadnotices.h"
 #include "decisions/serverchoice.h"
 
 #include "utils/hashing.h"
@@ -103,7 +104,8 @@
         decisions::server_loads loads;
         decisions::server_choice choice;
         decisions::crowd_register crowds; ///< of the parts whose home it is
-        double crowdShare = 1; ///< as of its last choice
+        decisions::load_notices notices;
+        decisions::bound_view view { 0, 0, decisions::server_choice::boundExtra }; ///< of its last choice
         std::int64_t nextBeatMs = 0;
         std::int64_t sentSinceBeat = 0;
         std::int64_t beatMs = maxBeatMs;
@@ -174,17 +176,22 @@
         bool isPlaced = false;
     };
 
+    double shareOf(unsigned node) const
+    {
+        return decisions::server_choice::crowdShareOf(m_nodes[node].view, m_times);
+    }
+
     /// The node asks the home of the part for a place, and sends the request without one if no answer comes.
     void send(unsigned sender, std::uint64_t part)
     {
         const unsigned home = static_cast<unsigned>(utils::hash64("home", part) % m_shape.nodes);
         if (home == sender || m_shape.nodes == 1) {
-            sendTo(sender, part, m_nodes[home].crowds.place(part, m_nodes[sender].crowdShare, now()));
+            sendTo(sender, part, m_nodes[home].crowds.place(part, shareOf(sender), now()));
             return;
         }
         const auto request = std::make_shared<pending_request>(pending_request { sender, part });
         after(answerTimeoutMs, [this, request] { sendOnce(*request, 0); });
-        deliver([this, request, home, share = m_nodes[sender].crowdShare] {
+        deliver([this, request, home, share = shareOf(sender)] {
             const std::uint32_t place = m_nodes[home].crowds.place(request->part, share, now());
             deliver([this, request, place] { sendOnce(*request, place); });
         });
@@ -206,7 +213,7 @@
         query.crowdPlace = place;
         const auto placed = node.choice.choose(m_engines, query, node.loads, now());
         BOOST_REQUIRE(placed.has_value());
-        node.crowdShare = decisions::server_choice::crowdShareOf(*placed->view, m_times);
+        node.view = *placed->view;
         const auto engine = static_cast<unsigned>(
             std::ranges::find(m_engines, placed->server, &decisions::server_candidate::id)
             - m_engines.begin());
@@ -235,7 +242,21 @@
 
     void report(unsigned node, unsigned engine)
     {
-        m_nodes[node].loads.recordReport(m_engines[engine].id, m_engineLoads[engine], 0, now());
+        node_state& receiver = m_nodes[node];
+        const utils::server_id& server = m_engines[engine].id;
+        const unsigned requests = m_engineLoads[engine];
+        receiver.loads.recordReport(server, requests, 0, now());
+        receiver.notices.expire(now());
+        if (receiver.loads.peerScale(now()) <= 1
+            || !receiver.notices.mustTell(server, requests, receiver.view, now()))
+            return;
+        for (unsigned other = 0; other < m_shape.nodes; ++other) {
+            if (other != node)
+                deliver([this, other, &server, requests] {
+                    m_nodes[other].notices.heard(server, now());
+                    m_nodes[other].loads.recordReport(server, requests, 0, now());
+                });
+        }
     }
 
     void finish(unsigned sender, unsigned engine, const std::vector<decisions::prompt_part>& parts)
--- a/tests/auto/gateway/tst_crowdmessage.cpp
+++ b/tests/auto/gateway/tst_crowdmessage.cpp
@@ -1,4 +1,5 @@
 #include "gateway/load/crowdmessage.h"
+#include "gateway/load/loadmessage.h"
 #include "gateway/load/workmessage.h"
 #include "gateway/peers/crashmessages.h"
 #include "gateway/peers/datagramcodec.h"
@@ -10,6 +11,7 @@
 
 using gateway::crowd_message;
 using gateway::crowd_message_kind;
+using gateway::load_message;
 using gateway::detail::decodeMarked;
 using gateway::detail::encodeMessage;
 
@@ -55,6 +57,21 @@
     BOOST_TEST(!decodeMarked<gateway::work_message>(bytes).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(loads_survive_the_way)
+{
+    const std::string longest(load_message::maxServerLength, 'x');
+    const std::string bytes = encodeMessage(load_message { longest, 0xffffffff });
+    BOOST_TEST(bytes.size() < std::size_t(load_message::firstByte));
+    const auto told = decodeMarked<load_message>(bytes);
+    BOOST_REQUIRE(told.has_value());
+    BOOST_TEST(told->server == longest);
+    BOOST_TEST(told->requests == 0xffffffffu);
+    BOOST_TEST(!decodeMarked<crowd_message>(bytes).has_value());
+    BOOST_TEST(!gateway::decodeHeartbeat(bytes).has_value());
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        BOOST_TEST(!decodeMarked<load_message>(bytes.substr(0, length)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_dropped)
 {
     const std::string bytes = encodeMessage(question());
