Test of answers without end at 300 connections at once

Guards against answers without end that together take a node over its memory limit: in a head, in a discarded body, in an extra answer.

--- a/tests/auto/gateway/tst_gatewayrequests.cpp
+++ b/tests/auto/gateway/tst_gatewayrequests.cpp
@@ -306,6 +306,42 @@
     BOOST_TEST(ask(node(0), question("POST", "/chat/1", "hi")).status == 200);
 }
 
+// Guards against answers without end that together take the node over its memory limit, and requests of other
+// callers that end with it: in a head, in a discarded body, in an extra answer, at 300 connections at once.
+BOOST_FIXTURE_TEST_CASE(answers_without_end_at_many_connections_leave_room_for_others, ready_testbed)
+{
+    constexpr std::size_t memoryLimit = 160'000'000; // of the smallest VM on the users' sheets
+    constexpr std::size_t connections = 300;
+    for (const replica_act act :
+        { replica_act::HeadEndless, replica_act::ShedEndless, replica_act::ForeignEndless }) {
+        press(0).act(act);
+        press(1).act(act);
+        std::vector<std::unique_ptr<raw_caller>> callers;
+        for (std::size_t i = 0; i < connections; ++i) {
+            callers.push_back(std::make_unique<raw_caller>(node(0)));
+            callers.back()->write(
+                "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
+                "Connection: close\r\nLycheefront-Attempt-Id: end-"
+                + std::to_string(static_cast<int>(act)) + "-" + std::to_string(i)
+                + "\r\nLycheefront-Deadline-Ms: 3000\r\n\r\n");
+        }
+        std::size_t mostBytes = 0;
+        for (unsigned sample = 0; sample < 10; ++sample) {
+            mostBytes = std::max(mostBytes, residentBytes(node(0)));
+            BOOST_TEST(
+                ask(node(0), question("POST", "/chat/1", "hi " + std::to_string(sample))).status == 200);
+        }
+        for (const std::unique_ptr<raw_caller>& caller : callers)
+            BOOST_TEST(caller->readToEnd().starts_with("HTTP/1.1 50"));
+        mostBytes = std::max(mostBytes, residentBytes(node(0)));
+        BOOST_TEST_MESSAGE("resident bytes at most: " << mostBytes);
+        BOOST_TEST(mostBytes > 0u);
+        BOOST_TEST(mostBytes < memoryLimit);
+        callers.clear();
+    }
+    BOOST_TEST(node(0).starts == 1u);
+}
+
 // Guards against an event that never ends. None of it can be forwarded, since the caller must get whole
 // events; buffered until the timeout of the route, it used up the memory of the node. The attempt ends when
 // the event exceeds the size limit, and the caller gets an error at once.
