--- a/src/libs/gateway/requests/requestplan.cpp
+++ b/src/libs/gateway/requests/requestplan.cpp
@@ -327,7 +327,7 @@
     query.crowdPlace = constraints.crowdPlace;
     if (constraints.trace != nullptr)
         return context.choice.choose(candidates, query, context.loads, now, &constraints.trace->costs);
-    const auto chosen = context.choice.choose(candidates, query, context.loads, now);
+    auto chosen = context.choice.choose(candidates, query, context.loads, now);
     if (chosen && chosen->view)
         context.boundViews[plan.service] = *chosen->view;
     return chosen;
