A node that stood still asks peers before it takes a version for the only one

By reading, no joined stream was shown: after a standstill heartbeats and answers of the store that had waited are read beside the callers' requests, the oldest first, so that for a moment the view seems current; and where a peer answered with a newer record, a view that seemed current went before it.

--- a/src/libs/decisions/originsearch.cpp
+++ b/src/libs/decisions/originsearch.cpp
@@ -47,8 +47,8 @@
 {
     if (query.isNamed && answers.version() != 0)
         return { origin_source::Peer, answers.version(), {}, {} };
-    const bool isConfirmed = query.isViewCurrent || query.isAlone
-        || (answers.count() > 0 && answers.recordRevision() <= versions.recordRevision());
+    const bool isConfirmed = (query.isViewCurrent || query.isAlone || answers.count() > 0)
+        && answers.recordRevision() <= versions.recordRevision();
     const auto only = versions.onlyVersion(query.service, now);
     if (only && isConfirmed && !answers.isContradictory())
         return { origin_source::OnlyVersion, versionKey(*only), {}, {} };
--- a/src/libs/decisions/originsearch.h
+++ b/src/libs/decisions/originsearch.h
@@ -66,8 +66,8 @@
 /// current may have missed a version, so it asks even where it knows of a single one. Thread safe.
 std::optional<found_origin> findHere(const stream_origins& origins, const version_history& versions,
     const origin_query& query, utils::time_point now);
-/// Finds the origin by the answers of peers. A single version counts only where the view is current, a peer
-/// confirms that no newer record is known, or there are no peers. Thread safe.
+/// Finds the origin by the answers of peers. A single version counts only where no peer knows a newer record
+/// and either the view is current, or a peer has answered, or there are no peers. Thread safe.
 found_origin findByAnswers(const version_history& versions, const origin_query& query,
     const origin_answers& answers, utils::time_point now);
 
--- a/src/libs/gateway/peers/streamdirectory.cpp
+++ b/src/libs/gateway/peers/streamdirectory.cpp
@@ -59,7 +59,7 @@
 bool stream_directory::isViewCurrent() const
 {
     const utils::time_point present = now();
-    return m_context.viewLag.age(present) <= currentViewAge
+    return !m_standstill.isRecent(present) && m_context.viewLag.age(present) <= currentViewAge
         && m_context.viewLag.behindFor(present) == utils::duration::zero();
 }
 
@@ -163,6 +163,7 @@
 void stream_directory::tick(bool followsStore, utils::time_point now)
 {
     m_followsStore = followsStore;
+    m_standstill.tick(now);
     m_origins.expire(now);
     if (!m_context.configuration)
         return;
--- a/src/libs/gateway/peers/streamdirectory.h
+++ b/src/libs/gateway/peers/streamdirectory.h
@@ -6,6 +6,7 @@
 #include "streammessages.h"
 
 #include "decisions/originsearch.h"
+#include "decisions/standstilldetector.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -103,6 +104,7 @@
     send_function m_send;
     deposit_function m_deposit;
     bool m_followsStore = false;
+    decisions::standstill_detector m_standstill { currentViewAge };
     decisions::stream_origins m_origins;
     std::set<std::string> m_severalVersions; ///< services whose streams are reported to peers
     std::map<std::uint64_t, std::shared_ptr<question>> m_questions;
--- a/tests/auto/decisions/tst_streamorigins.cpp
+++ b/tests/auto/decisions/tst_streamorigins.cpp
@@ -273,6 +273,22 @@
     BOOST_TEST((findByAnswers(history, query, none, at(1s)).source == origin_source::OnlyVersion));
 }
 
+// Guards against a node that takes its view for current, though a peer knows a newer record: streams of a
+// version that joined while the node was out of step go on at another one.
+BOOST_AUTO_TEST_CASE(newer_record_of_a_peer_goes_before_a_view_that_seems_current)
+{
+    version_history history = historyOf({ "v1" });
+    history.applyRecord(service_versions { { "engines", { "v1" } } }, 7, at(0s));
+    origin_query query = queryFor(1);
+    query.isViewCurrent = true;
+    origin_answers newer;
+    newer.add(0, 8);
+    BOOST_TEST((findByAnswers(history, query, newer, at(1s)).source == origin_source::Unknown));
+    origin_answers same;
+    same.add(0, 7);
+    BOOST_TEST((findByAnswers(history, query, same, at(1s)).source == origin_source::OnlyVersion));
+}
+
 // Guards against callers that do not name the stream and are given the answer to another one.
 BOOST_AUTO_TEST_CASE(unnamed_stream_is_not_looked_up)
 {
