--- a/src/libs/decisions/crowdregister.cpp
+++ b/src/libs/decisions/crowdregister.cpp
@@ -23,7 +23,7 @@
     const auto requests = static_cast<double>(crowd.requests.size() + 1);
     const double filled = requests / std::max(1.0, share);
     const double wanted = std::ceil(filled * (1 + std::max(0.0, filled - 1) / sparePlaces));
-    const auto places = static_cast<std::size_t>(std::max(1.0, wanted));
+    const auto places = static_cast<std::size_t>(std::clamp<double>(wanted, 1, maxRequests));
     if (crowd.byPlace.size() < places)
         crowd.byPlace.resize(places);
     const auto end = crowd.byPlace.begin() + static_cast<std::ptrdiff_t>(places);
--- a/src/libs/gateway/node.h
+++ b/src/libs/gateway/node.h
@@ -534,8 +534,8 @@
     std::optional<double> m_peerRequests; ///< in progress at a peer, in the mean; nothing: no peer is heard
     decisions::accept_rounds m_acceptRounds; ///< of callers' connections
     std::uint64_t m_acceptedConnections = 0; ///< from callers
-    utils::time_point
-        m_endsAt {}; ///< the last answers are written by then; not set before the end of the grace period
+    /// The last answers are written by then; not set before the end of the grace period.
+    utils::time_point m_endsAt {};
     bool m_isDone = false;
     std::function<void()> m_onDone;
 };
--- a/tests/auto/decisions/tst_crowdregister.cpp
+++ b/tests/auto/decisions/tst_crowdregister.cpp
@@ -85,6 +85,7 @@
     for (std::size_t i = 0; i < 3 * crowd_register::maxRequests; ++i)
         furthest = std::max(furthest, crowds.place(document, 1, at(0s)));
     BOOST_TEST(furthest < crowd_register::maxRequests);
+    BOOST_TEST(crowds.place(document, 1, at(crowd_register::window)) == 0u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
