--- a/tests/auto/gateway/tst_herds.cpp
+++ b/tests/auto/gateway/tst_herds.cpp
@@ -118,7 +118,7 @@
     BOOST_TEST(above < 20u);
 }
 
-// The same while a node, the home of some parts, has just been killed and answers nothing.
+// Guards against requests that fail, or wait without end, because the home of their part stands still.
 BOOST_FIXTURE_TEST_CASE(a_herd_is_served_where_a_home_is_gone, herd_testbed)
 {
     node(nodes - 1).process->sendSignal(SIGSTOP);
