A response with a status that HTTP does not define is none

Callers saw: an answer with status 000 of a server in trouble, passed on as an answer ("HTTP/1.1 0 <unknown-status>"); 099, 600 and 999 alike.

Cause: Beast's parser takes any three digits for a status. readHead() of the gateway took what is below 100 for a final status and did not bound it above; the older daemon's reader did the same, since to_status_class() of 0 is not "informational".

Change: one check of the heads of responses (utils::checkResponseHead), in both readers of servers' responses; interim heads are checked as well. Such an attempt is garbled: it goes to another server where the request may be repeated, and is a 502 otherwise. A payment reaches one server only.

Peers and the store are read by the same reader of the gateway.

--- a/src/libs/gateway/servers/httpconnection.cpp
+++ b/src/libs/gateway/servers/httpconnection.cpp
@@ -5,6 +5,8 @@
 
 #include "wire/socketpeek.h"
 
+#include "utils/responsehead.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -30,8 +32,7 @@
 constexpr unsigned maxInterimResponses = 16;
 // The answer that is waited for comes behind the skipped one, so there is more patience with that.
 constexpr discard_limits skipLimits { 1'048'576, std::chrono::seconds(5) };
-constexpr int continueStatus = 100;
-constexpr int firstFinalStatus = 200;
+constexpr unsigned firstFinalStatus = 200;
 
 /// The bytes that startWrite() sends; kept until the kernel has taken them.
 struct outgoing_bytes {
@@ -97,8 +98,9 @@
         if (fault)
             co_return fault;
         if (m_parser->is_header_done()) {
-            const auto status = static_cast<int>(m_parser->get().result_int());
-            if (status >= firstFinalStatus || status < continueStatus)
+            if (const error_code headFault = utils::checkResponseHead(head()))
+                co_return headFault;
+            if (m_parser->get().result_int() >= firstFinalStatus)
                 co_return error_code();
             if (++interimResponses > maxInterimResponses)
                 co_return http::make_error_code(http::error::header_limit);
--- a/src/libs/gateway/servers/httpconnection.h
+++ b/src/libs/gateway/servers/httpconnection.h
@@ -41,7 +41,8 @@
     /// Starts to send a request and returns at once.
     void startWrite(std::string head, std::shared_ptr<const std::string> body, bool isHeadMethod);
     /// Reads the head of the next response, and skips interim (1xx) responses. Fails with header_limit where
-    /// these are too long, too many, or still incomplete long after their first byte.
+    /// these are too long, too many, or still incomplete long after their first byte, and as
+    /// utils::checkResponseHead().
     boost::asio::awaitable<error_code> readHead();
     /// Reads more of the body and appends it to `bytes`; may append nothing. Fails with buffer_overflow where
     /// the head of a chunk or the trailer does not end.
--- a/src/libs/serving/backendexchange.cpp
+++ b/src/libs/serving/backendexchange.cpp
@@ -2,6 +2,8 @@
 
 #include "servingconstants.h"
 
+#include "utils/responsehead.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -109,6 +111,8 @@
         auto [error, count] = co_await http::async_read_header(
             m_connection->stream, m_connection->buffer, *m_parser, asTuple);
         m_watchdog->touch();
+        if (!error)
+            error = utils::checkResponseHead(m_parser->get());
         if (!error && interimResponses > maxInterimResponses)
             error = http::make_error_code(http::error::header_limit);
         if (error) {
--- /dev/null
+++ b/src/libs/utils/responsehead.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace utils {
+
+/// Checks what Beast's parser lets pass in the head of a response. Fails with bad_status where the status is
+/// none that HTTP defines (100 to 599). Thread safe.
+boost::system::error_code checkResponseHead(const boost::beast::http::response_header<>& head);
+
+} // namespace utils
--- a/tests/auto/gateway/gatewaytestbed.cpp
+++ b/tests/auto/gateway/gatewaytestbed.cpp
@@ -73,8 +73,8 @@
                 json::object { { "name", "engines" }, { "healthPath", "/healthz" },
                     { "maxConns", content.slots + 1 }, { "engine", engine } } } },
         { "limits",
-            json::object { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 3000 },
-                { "idleTimeoutMs", 15000 } } },
+            json::object { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", content.maxBodyBytes },
+                { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } },
         { "tenants",
             json::array { json::object { { "name", "print-shop" }, { "apiKeys", keys },
                 { "allowedRegions", textsJson(content.workspaceRegions) } } } },
@@ -91,12 +91,28 @@
 void gateway_testbed::announce(
     const replica_standin& replica, const std::string& service, const replica_entry& described)
 {
-    const json::object entry { { "backend", service },
-        { "address", "127.0.0.1:" + std::to_string(routed(replica.port())) },
+    replica_entry named = described;
+    if (named.id.empty())
+        named.id = replica.id();
+    announceAt("127.0.0.1:" + std::to_string(routed(replica.port())), service, named);
+}
+
+void gateway_testbed::announce(
+    const platform_standin::raw_replica& replica, const std::string& service, const replica_entry& described)
+{
+    replica_entry named = described;
+    named.id = replica.id();
+    announceAt(replica.address(), service, named);
+}
+
+void gateway_testbed::announceAt(
+    const std::string& address, const std::string& service, const replica_entry& described)
+{
+    const json::object entry { { "backend", service }, { "address", address },
         { "zone", described.dataCentre }, { "resourceVersion", described.softwareVersion },
         { "slots", described.slots }, { "state", described.state }, { "coldRemainingMs", described.coldMs },
         { "sequence", 1 }, { "born", described.startedAtMs } };
-    m_store.put("servers/" + (described.id.empty() ? replica.id() : described.id), json::serialize(entry));
+    m_store.put("servers/" + described.id, json::serialize(entry));
 }
 
 void gateway_testbed::withdraw(const replica_standin& replica)
--- a/tests/auto/gateway/gatewaytestbed.h
+++ b/tests/auto/gateway/gatewaytestbed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platformstandin/rawreplica.h"
 #include "platformstandin/replicastandin.h"
 #include "platformstandin/storestandin.h"
 #include "processtools/simplehttp.h"
@@ -46,6 +47,7 @@
     unsigned gapMs = 5000; ///< target between two events
     unsigned timeoutMs = 20000; ///< of all routes
     unsigned slots = 8; ///< of each replica of the service "engines"
+    unsigned maxBodyBytes = 65536; ///< of a caller's request
 };
 
 /// Real gateway processes with stand-ins for the platform's store and for replicas. Tests wait for states,
@@ -72,6 +74,8 @@
         const std::string& state = "ready");
     void announce(const platform_standin::replica_standin& replica, const std::string& service,
         const replica_entry& entry);
+    void announce(
+        const platform_standin::raw_replica& replica, const std::string& service, const replica_entry& entry);
     void withdraw(const platform_standin::replica_standin& replica);
     /// Sets the retries that all nodes together may send in ten seconds, for nodes started from now on:
     /// `ratio` per request, and `extra`.
@@ -110,6 +114,7 @@
 
 private:
     std::string settingsFor(const gateway_node& node, unsigned short peerPort) const;
+    void announceAt(const std::string& address, const std::string& service, const replica_entry& entry);
     unsigned short routed(unsigned short port) const { return m_route ? m_route(port) : port; }
 
     port_route m_route;
--- /dev/null
+++ b/tests/auto/gateway/tst_brokenanswers.cpp
@@ -0,0 +1,156 @@
+#include "gatewaytestbed.h"
+#include "joinedtext.h"
+
+#include "processtools/freeport.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+using platform_standin::eventsUpTo;
+using platform_standin::raw_answer;
+using platform_standin::raw_end;
+using platform_standin::raw_replica;
+
+namespace {
+
+constexpr std::size_t replicas = 2; ///< of each service
+constexpr std::size_t longUpload = 12'000'000; ///< bytes; far more than the kernel buffers of a connection
+constexpr unsigned eventCount = 5;
+
+const std::string signature = "Lycheefront-Attempt-Id: {id}\r\nLycheefront-Response-Signature: s.1\r\n";
+
+std::string sized(const std::string& body)
+{
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A whole answer to any kind of request.
+raw_answer wholeAnswer()
+{
+    return { "HTTP/1.1 200 OK\r\n" + signature + sized(eventsUpTo(eventCount)) };
+}
+
+/// Two nodes before raw replicas; the first node reaches no replica and forwards to the second one.
+class broken_answer_testbed : public gateway_testbed {
+public:
+    broken_answer_testbed()
+        : gateway_testbed(0)
+    {
+        setRetryLimits(4, 54);
+        configuration_content content;
+        content.latencyMs = 200; // requests wait for another server in proportion
+        content.timeoutMs = 8000;
+        content.maxBodyBytes = 2 * longUpload;
+        configure(1, content);
+        std::map<std::string, std::string> substitutions;
+        for (const std::string service : { "press", "engines" }) {
+            for (std::size_t i = 0; i < replicas; ++i) {
+                m_replicas.push_back(
+                    std::make_unique<raw_replica>(thread(), service + "-" + std::to_string(i)));
+                m_replicas.back()->setAnswer(wholeAnswer());
+                announce(*m_replicas.back(), service, {});
+                substitutions[m_replicas.back()->address()]
+                    = "127.0.0.1:" + std::to_string(freePort("127.0.0.1"));
+            }
+        }
+        awaitReady(startNode(platform_standin::store_mode::Serve, std::move(substitutions)));
+        awaitReady(startNode());
+        awaitPeers();
+        for (const http_question& asked : questions())
+            BOOST_REQUIRE(waitUntil([&] { return isSuccess(ask(node(0), asked)); }));
+    }
+
+    void setAnswer(const raw_answer& answer)
+    {
+        for (const auto& replica : m_replicas)
+            replica->setAnswer(answer);
+    }
+    /// The replicas answer some requests, so that no node avoids them.
+    void answerWhole()
+    {
+        setAnswer(wholeAnswer());
+        for (unsigned i = 0; i < 2 * replicas; ++i) {
+            const std::string number = std::to_string(++m_asked);
+            BOOST_TEST(isSuccess(ask(node(1), question("GET", "/look/" + number))));
+            BOOST_TEST(isSuccess(ask(node(1), question("POST", "/draft/" + number, "well " + number))));
+        }
+    }
+    /// One request of each kind, all different: equal ones would count as one that crashes servers.
+    std::vector<http_question> questions(std::size_t bodySize = 1)
+    {
+        const std::string number = std::to_string(++m_asked);
+        const std::string body = number + std::string(bodySize, 'x');
+        return { question("POST", "/look/" + number, body), question("POST", "/pay/" + number, body),
+            question("POST", "/draft/" + number, body) };
+    }
+    static bool isSuccess(const http_reply& reply)
+    {
+        return reply.status >= 200 && reply.status < 300 && reply.isWhole;
+    }
+    std::size_t requestCount() const
+    {
+        std::size_t requests = 0;
+        for (const auto& replica : m_replicas)
+            requests += replica->requestCount();
+        return requests;
+    }
+    /// Asks one request of each kind at each node while the replicas answer so. Each must reach a replica,
+    /// and its caller must get a failure of the node.
+    void checkIsNoAnswer(const raw_answer& answer, const std::string& what)
+    {
+        for (std::size_t nodeIndex = 0; nodeIndex < 2; ++nodeIndex) {
+            for (const http_question& asked : questions()) {
+                answerWhole();
+                setAnswer(answer);
+                const std::size_t before = requestCount();
+                const http_reply reply = ask(node(nodeIndex), asked);
+                BOOST_TEST((reply.status == 502 || reply.status == 503),
+                    what << ": " << asked.target << " at node " << nodeIndex << ": " << reply.status);
+                BOOST_TEST(!reply.headers.contains("Lycheefront-Response-Signature"), what);
+                const std::size_t sent = requestCount() - before;
+                BOOST_TEST(sent >= 1U, what);
+                BOOST_TEST((sent == 1U || asked.target.starts_with("/look")), what << ": " << asked.target);
+            }
+        }
+    }
+    /// Asks one request with a body of that size of each kind at each node while the replicas answer so, and
+    /// returns how many callers got a whole success.
+    unsigned successes(const raw_answer& answer, std::size_t bodySize)
+    {
+        unsigned count = 0;
+        for (std::size_t nodeIndex = 0; nodeIndex < 2; ++nodeIndex) {
+            for (const http_question& asked : questions(bodySize)) {
+                answerWhole();
+                setAnswer(answer);
+                const std::size_t before = requestCount();
+                count += isSuccess(ask(node(nodeIndex), asked)) ? 1 : 0;
+                BOOST_TEST(requestCount() > before);
+            }
+        }
+        return count;
+    }
+
+private:
+    std::vector<std::unique_ptr<raw_replica>> m_replicas;
+    unsigned m_asked = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(broken_answers)
+
+// Guards against an answer with a status that HTTP does not define, which callers get as an answer.
+BOOST_FIXTURE_TEST_CASE(status_out_of_range_is_no_answer, broken_answer_testbed)
+{
+    for (const std::string status : { "000", "099", "600", "999" })
+        checkIsNoAnswer(
+            { joined({ "HTTP/1.1 ", status, " X\r\n", signature, sized(eventsUpTo(eventCount)) }) }, status);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -1,3 +1,5 @@
+#include "joinedtext.h"
+
 #include "gateway/requests/stopscope.h"
 #include "gateway/servers/httpconnection.h"
 
@@ -6,11 +8,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -25,6 +29,7 @@
 /// A connection to a server that reads nothing until the test makes it, over a socket with small buffers.
 struct full_connection {
     static constexpr std::size_t bodySize = 65536; // fits into the sender's kernel buffers alone
+    static constexpr std::size_t longBodySize = 16'000'000; // fits into no buffers
 
     asio::io_context io;
     tcp::acceptor acceptor { io };
@@ -105,6 +110,27 @@
             asio::detached);
         return await(readToEnd());
     }
+    /// Sends a long request, of which the server reads nothing, and these bytes as the beginning of its
+    /// response; returns how reading its head ends.
+    boost::system::error_code readEarlyHead(const std::string& bytes)
+    {
+        connection->startWrite(
+            "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(longBodySize) + "\r\n\r\n",
+            std::make_shared<const std::string>(longBodySize, 'x'), false);
+        asio::write(server, asio::buffer(bytes));
+        return await(connection->readHead());
+    }
+    void resetByServer()
+    {
+        server.set_option(asio::socket_base::linger(true, 0));
+        server.close();
+    }
+    /// Runs what is ready.
+    void poll()
+    {
+        io.restart();
+        io.poll();
+    }
     asio::awaitable<boost::system::error_code> readToEnd()
     {
         std::string body;
@@ -202,6 +228,27 @@
     }
 }
 
+// Guards against a response that HTTP does not define and that is forwarded as a response of the server.
+BOOST_AUTO_TEST_CASE(status_out_of_range_is_no_response)
+{
+    const std::string rest = " X\r\nContent-Length: 5\r\n\r\nwhole";
+    for (const std::string status : { "000", "001", "042", "099", "600", "999" }) {
+        full_connection faulty;
+        BOOST_TEST(
+            (faulty.readHead(joined({ "HTTP/1.1 ", status, rest })) == boost::beast::http::error::bad_status),
+            status);
+        full_connection afterInterim;
+        BOOST_TEST(
+            (afterInterim.readHead(joined({ "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 ", status, rest }))
+                == boost::beast::http::error::bad_status),
+            status);
+    }
+    for (const std::string status : { "200", "299", "404", "500", "599" }) {
+        full_connection sound;
+        BOOST_TEST(!sound.readHead(joined({ "HTTP/1.1 ", status, rest })), status);
+    }
+}
+
 // Guards against work that grows with the square of the bytes received.
 BOOST_FIXTURE_TEST_CASE(smallest_chunks_are_read_as_they_come, full_connection)
 {
--- a/tests/auto/serving/tst_backendexchange.cpp
+++ b/tests/auto/serving/tst_backendexchange.cpp
@@ -19,9 +19,18 @@
 
 namespace {
 
-/// One exchange with a server that sends these bytes, whatever it is asked, and closes.
+/// How the server ends its connection.
+enum class server_end {
+    Close,
+    Reset
+};
+
+/// One exchange with a server that sends these bytes, whatever it is asked, reads nothing and ends the
+/// connection.
 struct exchange_outcome {
-    exchange_outcome(const std::string& method, const std::string& bytes)
+    exchange_outcome(const std::string& method, const std::string& bytes, std::string requestBody = {},
+        server_end end = server_end::Close)
+        : body(std::move(requestBody))
     {
         asio::io_context io;
         tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
@@ -30,7 +39,12 @@
         tcp::socket server = acceptor.accept();
         asio::async_write(server, asio::buffer(bytes), [&](const boost::system::error_code&, std::size_t) {
             boost::system::error_code ignored; // the exchange may have closed its end
-            server.shutdown(tcp::socket::shutdown_send, ignored);
+            if (end == server_end::Close) {
+                server.shutdown(tcp::socket::shutdown_send, ignored);
+                return;
+            }
+            server.set_option(asio::socket_base::linger(true, 0), ignored);
+            server.close(ignored);
         });
         auto exchange = std::make_unique<serving::backend_exchange>(
             std::make_unique<serving::backend_connection>(serving::net_stream(std::move(socket))), 10s);
@@ -53,7 +67,11 @@
         request.method = method;
         request.target = "/";
         request.host = "server";
-        co_await exchange.send(request);
+        request.body = body;
+        const auto sendFailure = co_await exchange.send(request);
+        detail = exchange.failure().detail;
+        if (sendFailure)
+            co_return;
         const auto head = co_await exchange.readHead();
         hasHead = head.has_value();
         status = hasHead ? head->status : 0;
@@ -68,6 +86,7 @@
         detail = exchange.failure().detail;
     }
 
+    std::string body; ///< of the request
     bool hasHead = false;
     int status = 0;
     bool isWhole = false;
@@ -110,6 +129,16 @@
     }
 }
 
+// Guards against a response that HTTP does not define and that is forwarded as a response of the server.
+BOOST_AUTO_TEST_CASE(status_out_of_range_is_no_response)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+        const std::string final = "HTTP/1.1 " + status + " X\r\nContent-Length: 5\r\n\r\nwhole";
+        BOOST_TEST(!exchange_outcome("GET", final).hasHead, status);
+        BOOST_TEST(!exchange_outcome("GET", "HTTP/1.1 103 Early Hints\r\n\r\n" + final).hasHead, status);
+    }
+}
+
 // Guards against an interim response that is taken for the answer, or as many as a server likes to send.
 BOOST_AUTO_TEST_CASE(interim_responses_are_skipped)
 {
