A reset under a pending write does not end a response as complete

Callers saw: a part of an answer as a complete 200. The server answers a long upload at once, without a length, sends a part of its body and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once. The pending write takes the report, and the next read gets an ordinary end of the connection. readBody() handed that to put_eof(), which completes a body without a length.

Change: where a response without a length ends with its connection while the request is still being sent, the reader waits for the end of the write, one second at most, and fails with its error if it has failed. The wait also finds the reset that follows when a process dies: its kernel ends the connection first and resets it when more of the request arrives. A server that ends its side and reads on, or reads nothing more, is answered whole. One place serves plain answers, streams, answers by way of a peer and the store's client. Responses with a length or chunks are whole by their framing, whatever becomes of the connection.

--- a/src/libs/gateway/servers/httpconnection.cpp
+++ b/src/libs/gateway/servers/httpconnection.cpp
@@ -30,6 +30,9 @@
 // A head arrives within a few packets, of which some may be lost.
 constexpr utils::duration maxHeadTime = std::chrono::seconds(3);
 constexpr unsigned maxInterimResponses = 16;
+// A server that has closed its socket resets the connection when more of the request arrives, at the latest
+// with one of the first retransmissions.
+constexpr utils::duration resetTime = std::chrono::seconds(1);
 // The answer that is waited for comes behind the skipped one, so there is more patience with that.
 constexpr discard_limits skipLimits { 1'048'576, std::chrono::seconds(5) };
 constexpr unsigned firstFinalStatus = 200;
@@ -53,6 +56,7 @@
 
 http_connection::http_connection(const asio::any_io_executor& executor)
     : m_socket(executor)
+    , m_writeEnd(executor)
 {
 }
 
@@ -82,9 +86,12 @@
     asio::async_write(
         m_socket, buffers, [self = shared_from_this(), bytes](const error_code& error, std::size_t) {
             self->m_isWriting = false;
+            self->m_writeEnd.cancel();
             // A response may still be there to read, so the reader reports how the exchange ended.
-            if (error)
-                self->m_isBroken = true;
+            if (!error)
+                return;
+            self->m_isBroken = true;
+            self->m_writeError = error;
         });
 }
 
@@ -121,15 +128,11 @@
     const auto self = shared_from_this();
     std::string& parsed = m_parser->get().body();
     if (parsed.empty() && !m_parser->is_done()) {
-        const error_code error = co_await receive();
-        if (error == asio::error::eof) {
-            error_code incomplete;
-            m_parser->put_eof(incomplete);
-            if (incomplete)
-                co_return incomplete;
-        } else if (error) {
+        error_code error = co_await receive();
+        if (error == asio::error::eof)
+            error = co_await endResponse();
+        if (error)
             co_return error;
-        }
         const error_code fault = parseReceived(*m_parser, m_received, maxHeadBytes);
         if (fault)
             co_return fault;
@@ -205,6 +208,21 @@
     co_return error;
 }
 
+asio::awaitable<http_connection::error_code> http_connection::endResponse()
+{
+    if (m_parser->need_eof() && m_isWriting) {
+        m_writeEnd.expires_after(resetTime);
+        co_await m_writeEnd.async_wait(asTuple);
+    }
+    // The kernel reports once that a connection has failed. If the write has taken that report, the read gets
+    // an ordinary end.
+    if (m_parser->need_eof() && m_writeError)
+        co_return m_writeError;
+    error_code incomplete;
+    m_parser->put_eof(incomplete);
+    co_return incomplete;
+}
+
 void http_connection::startResponse()
 {
     m_parser.emplace();
--- a/src/libs/gateway/servers/httpconnection.h
+++ b/src/libs/gateway/servers/httpconnection.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -45,7 +46,8 @@
     /// utils::checkResponseHead().
     boost::asio::awaitable<error_code> readHead();
     /// Reads more of the body and appends it to `bytes`; may append nothing. Fails with buffer_overflow where
-    /// the head of a chunk or the trailer does not end.
+    /// the head of a chunk or the trailer does not end, and with the error of the write where the connection
+    /// has failed under it and the body has no length.
     boost::asio::awaitable<error_code> readBody(std::string& bytes);
     /// Reads what is left of the response and drops it. Fails with body_limit where that does not end within
     /// `limits`, which are looked at as bytes arrive.
@@ -76,6 +78,11 @@
 
 private:
     boost::asio::awaitable<error_code> receive();
+    /// Ends the response where the other side has ended the connection. Fails if the response is incomplete.
+    /// A response without a length is, too, if the connection fails while the request is still being sent:
+    /// its end may be that of a process that has died. If it neither fails nor takes the request, the
+    /// response counts as complete after a while.
+    boost::asio::awaitable<error_code> endResponse();
     void startResponse();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -84,6 +91,8 @@
     bool m_isHeadMethod = false;
     bool m_isWriting = false;
     bool m_isBroken = false;
+    error_code m_writeError; ///< why the last write has failed
+    boost::asio::steady_timer m_writeEnd; ///< cancelled when a write ends
 };
 
 using http_connection_ptr = std::shared_ptr<http_connection>;
--- a/tests/auto/gateway/tst_brokenanswers.cpp
+++ b/tests/auto/gateway/tst_brokenanswers.cpp
@@ -153,4 +153,56 @@
             { joined({ "HTTP/1.1 ", status, " X\r\n", signature, sized(eventsUpTo(eventCount)) }) }, status);
 }
 
+// Guards against a part of an answer that callers get as whole: the replica answers a long upload at once,
+// without a length, and resets the connection while the upload is still being written.
+BOOST_FIXTURE_TEST_CASE(reset_during_an_upload_is_no_end_of_the_answer, broken_answer_testbed)
+{
+    const std::string part = eventsUpTo(2);
+    for (const std::string line : { "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n" }) {
+        for (const raw_end end : { raw_end::Reset, raw_end::FinishThenReset }) {
+            const raw_answer answer { joined({ line, signature, "\r\n", part }), true, end, 150ms };
+            BOOST_TEST(successes(answer, longUpload) == 0U, line << static_cast<int>(end));
+        }
+    }
+}
+
+// Guards against a whole answer that is dropped because it came before the end of the upload.
+BOOST_FIXTURE_TEST_CASE(early_answer_that_ends_with_its_connection_is_whole, broken_answer_testbed)
+{
+    const raw_answer answer { "HTTP/1.1 200 OK\r\n" + signature + "\r\n" + eventsUpTo(eventCount), true,
+        raw_end::Finish, 150ms };
+    BOOST_TEST(successes(answer, longUpload) == 6U);
+}
+
+// Guards against a stream that ends with the part that came before such a reset: its events stay, and another
+// engine goes on behind them.
+BOOST_AUTO_TEST_CASE(stream_that_is_reset_during_its_upload_is_resumed)
+{
+    gateway_testbed world(1);
+    world.setRetryLimits(4, 54);
+    configuration_content content;
+    content.maxBodyBytes = 2 * longUpload;
+    world.configure(1, content);
+    world.startNode();
+    world.awaitReady(world.node(0));
+    world.engine(0).setEvents(eventCount, eventCount);
+    raw_replica broken(world.thread(), "broken");
+    broken.setAnswer(
+        { "HTTP/1.1 200 OK\r\n" + signature + "Content-Type: text/event-stream\r\n\r\n" + eventsUpTo(2), true,
+            raw_end::Reset, 150ms });
+    world.announce(broken, "engines", {});
+    unsigned asked = 0;
+    const bool hasMet = waitUntil([&] {
+        const std::string number = std::to_string(++asked);
+        const auto question
+            = world.question("POST", "/chat/" + number, number + std::string(longUpload, 'x'));
+        const http_reply reply = world.ask(world.node(0), question);
+        BOOST_TEST(reply.status == 200);
+        BOOST_TEST(reply.isWhole);
+        BOOST_TEST(reply.body == eventsUpTo(eventCount));
+        return broken.requestCount() >= 2;
+    });
+    BOOST_TEST(hasMet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -249,6 +249,69 @@
     }
 }
 
+// Guards against a part of a response that is taken for a whole one: where the pending write learns of a
+// reset, the next read reports an ordinary end of the connection.
+BOOST_AUTO_TEST_CASE(reset_while_the_request_is_sent_cuts_the_response)
+{
+    for (const std::string head : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+             "HTTP/1.0 200 OK\r\n\r\n" }) {
+        for (const bool isReading : { false, true }) {
+            full_connection upload;
+            BOOST_REQUIRE(!upload.readEarlyHead(head + "part"));
+            std::string part;
+            while (part.empty())
+                BOOST_REQUIRE(!upload.await(upload.connection->readBody(part)));
+            if (!isReading) {
+                upload.resetByServer();
+                upload.poll();
+            }
+            std::optional<boost::system::error_code> result;
+            asio::co_spawn(
+                upload.io, [&]() -> asio::awaitable<void> { result = co_await upload.readToEnd(); },
+                asio::detached);
+            upload.poll();
+            if (isReading)
+                upload.resetByServer();
+            while (!result)
+                upload.io.run_one();
+            BOOST_TEST(result->failed(), head << (isReading ? "while reading" : "before reading"));
+            BOOST_TEST(!upload.connection->isDone());
+        }
+    }
+}
+
+// Guards against the same where the server ends its side first, as the kernel does for a process that dies.
+BOOST_FIXTURE_TEST_CASE(reset_soon_after_the_end_of_the_connection_cuts_the_response, full_connection)
+{
+    BOOST_REQUIRE(!readEarlyHead("HTTP/1.1 200 OK\r\n\r\npart"));
+    server.shutdown(tcp::socket::shutdown_send);
+    asio::steady_timer timer(io, 200ms);
+    timer.async_wait([this](const boost::system::error_code&) { resetByServer(); });
+    BOOST_TEST(await(readToEnd()).failed());
+}
+
+// Guards against a whole response that is dropped, or held until the deadline: the server responds before it
+// has read the request, ends its side, and reads on later or not at all.
+BOOST_AUTO_TEST_CASE(early_response_that_ends_with_its_connection_is_whole)
+{
+    for (const bool isReadingOn : { false, true }) {
+        full_connection upload;
+        BOOST_REQUIRE(!upload.readEarlyHead("HTTP/1.1 200 OK\r\n\r\nwhole"));
+        upload.server.shutdown(tcp::socket::shutdown_send);
+        std::string bytes;
+        if (isReadingOn)
+            asio::async_read(upload.server, asio::dynamic_buffer(bytes),
+                [](const boost::system::error_code&, std::size_t) {});
+        const auto startedAt = std::chrono::steady_clock::now();
+        BOOST_TEST(!upload.await(upload.readToEnd()));
+        BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 3s));
+        BOOST_TEST(upload.connection->isDone());
+        BOOST_TEST(!upload.connection->isReusable());
+        upload.connection->close();
+        upload.poll();
+    }
+}
+
 // Guards against work that grows with the square of the bytes received.
 BOOST_FIXTURE_TEST_CASE(smallest_chunks_are_read_as_they_come, full_connection)
 {
--- a/tests/auto/serving/tst_backendexchange.cpp
+++ b/tests/auto/serving/tst_backendexchange.cpp
@@ -139,6 +139,17 @@
     }
 }
 
+// Guards against a part of a response that is taken for a whole one: the server responds without a length and
+// resets the connection while it is still being sent the request.
+BOOST_AUTO_TEST_CASE(reset_while_the_request_is_sent_is_no_response)
+{
+    constexpr std::size_t longBody = 16'000'000; // bytes; fits into no buffers
+    const exchange_outcome outcome(
+        "POST", "HTTP/1.1 200 OK\r\n\r\npart", std::string(longBody, 'x'), server_end::Reset);
+    BOOST_TEST(!outcome.isWhole);
+    BOOST_TEST(!outcome.detail.empty());
+}
+
 // Guards against an interim response that is taken for the answer, or as many as a server likes to send.
 BOOST_AUTO_TEST_CASE(interim_responses_are_skipped)
 {
