A body in another transfer coding than chunked is no response

Callers saw (reported from outside, shown here): a 200 with the heads of the chunks in its body, where the server sent "Transfer-Encoding: chunked, identity"; and bodies still in a coding ("gzip", "gzip, chunked").

Cause: Beast's parser decodes chunks where chunked is the last coding, and ignores every other coding. The field itself is not forwarded, so that the caller cannot tell.

Change: utils::checkResponseHead fails unless chunked is the only transfer coding. This node asks for no other (it sends no TE).

--- a/src/libs/utils/responsehead.h
+++ b/src/libs/utils/responsehead.h
@@ -7,7 +7,8 @@
 namespace utils {
 
 /// Checks what Beast's parser lets pass in the head of a response. Fails with bad_status where the status is
-/// none that HTTP defines (100 to 599). Thread safe.
+/// none that HTTP defines (100 to 599), and with bad_transfer_encoding where the body has another transfer
+/// coding than chunked: it would be forwarded with that coding, or with the heads of its chunks. Thread safe.
 boost::system::error_code checkResponseHead(const boost::beast::http::response_header<>& head);
 
 } // namespace utils
--- a/tests/auto/gateway/tst_brokenanswers.cpp
+++ b/tests/auto/gateway/tst_brokenanswers.cpp
@@ -153,6 +153,18 @@
             { joined({ "HTTP/1.1 ", status, " X\r\n", signature, sized(eventsUpTo(eventCount)) }) }, status);
 }
 
+// Guards against a body that is not the replica's: one with the heads of its chunks in it, or still encoded.
+BOOST_FIXTURE_TEST_CASE(unknown_transfer_coding_is_no_answer, broken_answer_testbed)
+{
+    const std::string events = eventsUpTo(2);
+    for (const std::string codings : { "chunked, identity", "gzip, chunked", "gzip" }) {
+        const std::string bytes = joined({ "HTTP/1.1 200 OK\r\n", signature, "Transfer-Encoding: ", codings,
+            "\r\n\r\n2a\r\n", events, "\r\n0\r\n\r\n" });
+        const raw_answer answer { bytes, false, raw_end::Finish };
+        checkIsNoAnswer(answer, codings);
+    }
+}
+
 // Guards against a part of an answer that callers get as whole: the replica answers a long upload at once,
 // without a length, and resets the connection while the upload is still being written.
 BOOST_FIXTURE_TEST_CASE(reset_during_an_upload_is_no_end_of_the_answer, broken_answer_testbed)
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -249,6 +249,27 @@
     }
 }
 
+// Guards against a body that is not the server's: still in a coding, or with the heads of its chunks.
+BOOST_AUTO_TEST_CASE(unknown_transfer_coding_is_no_response)
+{
+    const std::string body = "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const std::string codings :
+        { "chunked, identity", "identity, chunked", "gzip, chunked", "chunked, chunked", "gzip", "identity",
+            "", "chunked;q=1", "identity\r\nTransfer-Encoding: chunked",
+            "chunked\r\nTransfer-Encoding: identity", "gzip\r\nContent-Length: 5" }) {
+        full_connection faulty;
+        BOOST_TEST(
+            faulty.readCutHead(joined({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: ", codings, body }), false),
+            codings);
+    }
+    for (const std::string codings : { "chunked", "Chunked", " chunked " }) {
+        full_connection sound;
+        BOOST_TEST(
+            !sound.readHead(joined({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: ", codings, body })), codings);
+        BOOST_TEST(!sound.await(sound.readToEnd()), codings);
+    }
+}
+
 // Guards against a part of a response that is taken for a whole one: where the pending write learns of a
 // reset, the next read reports an ordinary end of the connection.
 BOOST_AUTO_TEST_CASE(reset_while_the_request_is_sent_cuts_the_response)
--- a/tests/auto/serving/tst_backendexchange.cpp
+++ b/tests/auto/serving/tst_backendexchange.cpp
@@ -139,6 +139,20 @@
     }
 }
 
+// Guards against a body that is not the server's: still in a coding, or with the heads of its chunks.
+BOOST_AUTO_TEST_CASE(unknown_transfer_coding_is_no_response)
+{
+    for (const std::string codings : { "chunked, identity", "gzip, chunked", "gzip", "identity",
+             "identity\r\nTransfer-Encoding: chunked" }) {
+        const exchange_outcome outcome(
+            "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+        BOOST_TEST(!outcome.hasHead, codings);
+    }
+    BOOST_TEST(exchange_outcome(
+        "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+                   .isWhole);
+}
+
 // Guards against a part of a response that is taken for a whole one: the server responds without a length and
 // resets the connection while it is still being sent the request.
 BOOST_AUTO_TEST_CASE(reset_while_the_request_is_sent_is_no_response)
