Tests of header lines with malformed names, which the readers reject

Reported from other systems: an answer in whose head the name of a field holds a blank or a control byte reaches callers. It cannot happen here: Beast's parser rejects such lines. The tests stay.

--- a/tests/auto/gateway/tst_brokenanswers.cpp
+++ b/tests/auto/gateway/tst_brokenanswers.cpp
@@ -165,6 +165,15 @@
     }
 }
 
+// Guards against an answer with a malformed header line, which is passed on or hides where the body begins.
+BOOST_FIXTURE_TEST_CASE(malformed_header_name_is_no_answer, broken_answer_testbed)
+{
+    for (const std::string line : { "X Name: v", "X-Name : v", "X\x01Name: v", "X\tName: v" })
+        checkIsNoAnswer(
+            { joined({ "HTTP/1.1 200 OK\r\n", signature, line, "\r\n", sized(eventsUpTo(eventCount)) }) },
+            line);
+}
+
 // Guards against a part of an answer that callers get as whole: the replica answers a long upload at once,
 // without a length, and resets the connection while the upload is still being written.
 BOOST_FIXTURE_TEST_CASE(reset_during_an_upload_is_no_end_of_the_answer, broken_answer_testbed)
--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -270,6 +270,25 @@
     }
 }
 
+// Guards against a header line that is forwarded in another form than the server's, or that hides another.
+BOOST_AUTO_TEST_CASE(malformed_header_name_is_no_response)
+{
+    using namespace std::string_literals;
+    const std::vector<std::string> lines { "X Name: v", "X-Name : v", " X-Name: v", "\tX-Name: v",
+        "X\tName: v", "X\x01Name: v", "X\0Name: v"s, "X\x7fName: v", "X\x80Name: v", "X\vName: v",
+        "X(Name: v", "X\"Name: v", "X,Name: v", ": v", "X-Name", "X\rName: v", "Content-Length : 5" };
+    for (const std::string& line : lines) {
+        for (const std::string before : { "", "Content-Length: 5\r\n" }) {
+            if (!before.empty() && (line.front() == ' ' || line.front() == '\t'))
+                continue; // continues the line before
+            full_connection faulty;
+            const auto error = faulty.readHead(
+                joined({ "HTTP/1.1 200 OK\r\n", before, line, "\r\nServer: s\r\n\r\nwhole" }));
+            BOOST_TEST((error.category() == boost::beast::http::make_error_code({}).category()), line);
+        }
+    }
+}
+
 // Guards against a part of a response that is taken for a whole one: where the pending write learns of a
 // reset, the next read reports an ordinary end of the connection.
 BOOST_AUTO_TEST_CASE(reset_while_the_request_is_sent_cuts_the_response)
--- a/tests/auto/serving/tst_backendexchange.cpp
+++ b/tests/auto/serving/tst_backendexchange.cpp
@@ -153,6 +153,19 @@
                    .isWhole);
 }
 
+// Guards against a header line that is forwarded in another form than the server's, or that hides another.
+BOOST_AUTO_TEST_CASE(malformed_header_name_is_no_response)
+{
+    using namespace std::string_literals;
+    for (const std::string& line :
+        { "X Name: v"s, "X-Name : v"s, " X-Name: v"s, "X\tName: v"s, "X\x01Name: v"s, "X\0Name: v"s,
+            "X\x7fName: v"s, "X\x80Name: v"s, "X(Name: v"s, ": v"s, "X-Name"s }) {
+        const exchange_outcome outcome(
+            "GET", "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 5\r\n\r\nwhole");
+        BOOST_TEST(!outcome.hasHead, line);
+    }
+}
+
 // Guards against a part of a response that is taken for a whole one: the server responds without a length and
 // resets the connection while it is still being sent the request.
 BOOST_AUTO_TEST_CASE(reset_while_the_request_is_sent_is_no_response)
