A write is "not run" only after an answer that says so

Found while looking at every reader of answers (the older daemon's client of the key-value service). An answer with status 000, 099, a 1xx, 204 or 302 counted as a rejection before execution: a payment whose claim may have been written would have been told as not run.

Cause: statusOfRefusal() took every status below 500 but 408 for a refusal.

Change: only 4xx but 408 is one. The connection takes no interim or undefined status for an answer, and the watch none with an unknown transfer coding, whose lines would be torn.

The watch's check has no test of its own.

--- a/src/libs/keyvalue/kvclient.cpp
+++ b/src/libs/keyvalue/kvclient.cpp
@@ -12,16 +12,19 @@
 constexpr std::size_t maxIdleConnections = 16;
 
 constexpr unsigned httpOk = 200;
+constexpr unsigned httpClientErrors = 400;
 constexpr unsigned httpNotFound = 404;
 constexpr unsigned httpRequestTimeout = 408;
 constexpr unsigned httpServerErrors = 500;
 
 /// The gateway answers 4xx for a request that it rejects before execution (bad request, no space, too many
 /// requests). 408 is a call cancelled in flight, and 5xx includes a leader that became disconnected after
-/// it accepted the write: in both cases the outcome is unknown.
+/// it accepted the write: in both cases the outcome is unknown. So it is after any other status, which the
+/// gateway does not give.
 kv_status statusOfRefusal(unsigned httpStatus)
 {
-    const bool isRefused = httpStatus < httpServerErrors && httpStatus != httpRequestTimeout;
+    const bool isRefused
+        = httpStatus >= httpClientErrors && httpStatus < httpServerErrors && httpStatus != httpRequestTimeout;
     return isRefused ? kv_status::NotSent : kv_status::Unknown;
 }
 
--- a/src/libs/keyvalue/kvconnection.cpp
+++ b/src/libs/keyvalue/kvconnection.cpp
@@ -1,5 +1,7 @@
 #include "kvconnection.h"
 
+#include "utils/responsehead.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -18,6 +20,8 @@
 
 /// Large enough for a range read over all sections of a configuration, which is one answer.
 constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
+/// Responses below are interim ones, which no request of this client asks for.
+constexpr unsigned firstFinalStatus = 200;
 
 std::string hostText(const asio::ip::tcp::endpoint& endpoint)
 {
@@ -66,6 +70,10 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerBytes);
     co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+    if (!code)
+        code = utils::checkResponseHead(parser.get());
+    if (!code && parser.get().result_int() < firstFinalStatus)
+        code = http::make_error_code(http::error::bad_status);
     if (code)
         co_return kv_http_answer { kv_status::Unknown, 0, {}, "answer: " + code.message() };
     m_isBroken = !parser.get().keep_alive();
--- a/src/libs/keyvalue/kvwatch.cpp
+++ b/src/libs/keyvalue/kvwatch.cpp
@@ -2,6 +2,8 @@
 
 #include "kvjson.h"
 
+#include "utils/responsehead.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -83,7 +85,7 @@
     parser->body_limit(boost::none);
     co_await http::async_read_header(
         *m_stream, m_buffer, *parser, asio::redirect_error(asio::use_awaitable, code));
-    if (code || parser->get().result() != http::status::ok)
+    if (code || parser->get().result() != http::status::ok || utils::checkResponseHead(parser->get()))
         co_return false;
     m_parser = std::move(parser);
     co_return true;
--- a/tests/auto/keyvalue/tst_kvclient.cpp
+++ b/tests/auto/keyvalue/tst_kvclient.cpp
@@ -3,11 +3,15 @@
 #include "keyvalue/kvwatch.h"
 #include "kvstandin/kvserver.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
@@ -76,10 +80,81 @@
     return { key, prefixEnd(key), fromRevision, callTimeout, callTimeout };
 }
 
+/// A service that answers each request with bytes as they are: on its first connection with those given, on
+/// later ones with an empty reply of revision 7.
+class raw_service {
+public:
+    raw_service(asio::io_context& context, std::string bytes)
+        : m_acceptor(context, { asio::ip::address_v4::loopback(), 0 })
+        , m_bytes(std::move(bytes))
+    {
+        asio::co_spawn(context, acceptAll(), asio::detached);
+    }
+
+    asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+    static std::string reply(const std::string& statusLine, unsigned revision)
+    {
+        const std::string body = R"({"header":{"revision":")" + std::to_string(revision) + R"("},"kvs":[]})";
+        return statusLine + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+private:
+    asio::awaitable<void> acceptAll()
+    {
+        while (true) {
+            asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(m_acceptor.get_executor(),
+                serve(std::move(socket), m_isFirst ? m_bytes : reply("HTTP/1.1 200 OK", 7)), asio::detached);
+            m_isFirst = false;
+        }
+    }
+    static asio::awaitable<void> serve(asio::ip::tcp::socket socket, std::string bytes)
+    {
+        namespace http = boost::beast::http;
+        boost::beast::flat_buffer buffer;
+        while (true) {
+            http::request<http::string_body> request;
+            const auto [error, count]
+                = co_await http::async_read(socket, buffer, request, asio::as_tuple(asio::use_awaitable));
+            if (error)
+                co_return;
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::string m_bytes;
+    bool m_isFirst = true;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(kv_client_calls, fixture)
 
+// Guards against a write that is said not to have run, or to have succeeded, after an answer that says
+// neither: its status is none that the service gives.
+BOOST_AUTO_TEST_CASE(answer_that_is_none_leaves_the_outcome_of_a_write_unknown)
+{
+    for (const std::string status :
+        { "000", "042", "099", "100", "101", "199", "204", "302", "408", "500", "600", "999" }) {
+        raw_service service(context, raw_service::reply("HTTP/1.1 " + status + " X", 5));
+        kv_client caller(context.get_executor(), { service.endpoint() }, callTimeout);
+        run([&]() -> asio::awaitable<void> {
+            const kv_reply reply = co_await caller.transact(put("k", "v"));
+            BOOST_TEST((reply.status == kv_status::Unknown), status);
+        });
+    }
+    for (const std::string status : { "400", "404", "429" }) {
+        raw_service service(context, raw_service::reply("HTTP/1.1 " + status + " X", 5));
+        kv_client caller(context.get_executor(), { service.endpoint() }, callTimeout);
+        run([&]() -> asio::awaitable<void> {
+            const kv_reply reply = co_await caller.transact(put("k", "v"));
+            BOOST_TEST((reply.status == kv_status::NotSent), status);
+        });
+    }
+}
+
 BOOST_AUTO_TEST_CASE(compare_and_swap_lets_one_of_two_win)
 {
     run([&]() -> asio::awaitable<void> {
