Bytes behind an answer of the key-value service belong to no call

Found while looking at every reader of answers. Where the service, or what stands for it, sends bytes behind a whole answer, the next call on that kept connection took them for its own answer: a read got another key's value, and a write somebody else's outcome.

Cause: kv_connection looked for such bytes in the socket only; those that had come with the answer were in its buffer already. The pool of connections to backend servers and the gateway's reader look into their buffers.

Change: a connection with bytes left in its buffer takes no further call.

--- a/src/libs/keyvalue/kvconnection.cpp
+++ b/src/libs/keyvalue/kvconnection.cpp
@@ -76,7 +76,8 @@
         code = http::make_error_code(http::error::bad_status);
     if (code)
         co_return kv_http_answer { kv_status::Unknown, 0, {}, "answer: " + code.message() };
-    m_isBroken = !parser.get().keep_alive();
+    // Bytes behind the answer belong to no call.
+    m_isBroken = !parser.get().keep_alive() || m_buffer.size() > 0;
     http::response<http::string_body> answer = parser.release();
     co_return kv_http_answer { kv_status::Done, answer.result_int(), std::move(answer.body()), {} };
 }
--- a/tests/auto/keyvalue/tst_kvclient.cpp
+++ b/tests/auto/keyvalue/tst_kvclient.cpp
@@ -155,6 +155,23 @@
     }
 }
 
+// Guards against an answer that is taken for that of the next call.
+BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_belong_to_no_call)
+{
+    const std::string extra = raw_service::reply("HTTP/1.1 200 OK", 6);
+    for (const std::string& first : { raw_service::reply("HTTP/1.1 200 OK", 5),
+             std::string("HTTP/1.1 100 Continue\r\n\r\n"), std::string("HTTP/1.1 204 No Content\r\n\r\n") }) {
+        raw_service service(context, first + extra);
+        kv_client caller(context.get_executor(), { service.endpoint() }, callTimeout);
+        run([&]() -> asio::awaitable<void> {
+            co_await caller.get(keyOf("k"));
+            const kv_reply second = co_await caller.get(keyOf("k"));
+            BOOST_TEST((second.status == kv_status::Done));
+            BOOST_TEST(second.revision == 7, first.substr(0, 12));
+        });
+    }
+}
+
 BOOST_AUTO_TEST_CASE(compare_and_swap_lets_one_of_two_win)
 {
     run([&]() -> asio::awaitable<void> {
