Tools: an answer with an undefined status leaves the outcome unknown

Found while looking at every reader of answers. lycheefrontctl said "no daemon answered" after a status of 000, which operators read as nothing changed, and would have taken another status below 400 for "accepted".

Cause: the client uses status 0 for "no answer", and any status below 400 as a success.

Change: such an answer is none, and the change may have been made. The load tool counts it as an incomplete answer (no test of its own).

--- a/src/tools/ctl/operatorclient.cpp
+++ b/src/tools/ctl/operatorclient.cpp
@@ -2,6 +2,8 @@
 
 #include "keyvalue/kvclient.h"
 
+#include "utils/responsehead.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -48,8 +50,10 @@
 
     bool receive()
     {
-        return step(
-            m_timeout, [&](auto handler) { http::async_read(m_stream, m_buffer, m_parser, handler); });
+        if (!step(m_timeout, [&](auto handler) { http::async_read(m_stream, m_buffer, m_parser, handler); }))
+            return false;
+        m_code = utils::checkResponseHead(m_parser.get());
+        return !m_code;
     }
 
     std::string error() const { return m_code.message(); }
--- a/src/tools/load/httpcall.cpp
+++ b/src/tools/load/httpcall.cpp
@@ -1,5 +1,7 @@
 #include "httpcall.h"
 
+#include "utils/responsehead.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -59,6 +61,8 @@
     parser.body_limit(bodyLimit);
     co_await http::async_read_header(
         stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        error = utils::checkResponseHead(parser.get());
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(
             stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
--- a/tests/auto/operators/tst_ctl.cpp
+++ b/tests/auto/operators/tst_ctl.cpp
@@ -101,6 +101,15 @@
     BOOST_TEST(result.err.find("--change " + changeIdIn(first.targets.at(0))) != std::string::npos);
 }
 
+// Guards against "nothing changed" after an answer with a status that HTTP does not define: the change may
+// have been made.
+BOOST_AUTO_TEST_CASE(answer_with_an_undefined_status_leaves_the_outcome_unknown)
+{
+    scripted_daemon daemon({ { 0, R"({"outcome":"accepted","revision":4})", false } });
+    const run_result result = run("drain", { "engine-1" }, { daemon.endpoint() });
+    BOOST_TEST((result.code == exit_code::OutcomeUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(no_reachable_daemon_means_nothing_changed)
 {
     std::string gone;
