An entry without a usable address names no backend server

But entries with an address that cannot be used were taken as servers, chosen again and again, and nothing was sent: requests were refused as no_server.

Cause: the decoder of entries took any text for an address; it was parsed for each connection only.

--- a/tests/auto/platform/tst_decoders.cpp
+++ b/tests/auto/platform/tst_decoders.cpp
@@ -5,6 +5,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace std::chrono_literals;
 
@@ -154,6 +157,25 @@
     BOOST_TEST(!serverOf("").has_value());
 }
 
+// Guards against a server that is chosen again and again and can never be called.
+BOOST_AUTO_TEST_CASE(entry_without_a_usable_address_is_rejected)
+{
+    const std::string entry
+        = R"({"backend":"e","address":"10.0.0.9:80","zone":"a","resourceVersion":"v1","slots":64,"state":"ready"})";
+    const auto withAddress
+        = [&](const std::string& address) { return serverOf(replaced(entry, "10.0.0.9:80", address)); };
+    for (const std::string address :
+        { "10.0.0.9:80", "127.0.0.1:1", "127.0.0.1:65535", "[::1]:80", "[2001:db8::1]:80" })
+        BOOST_TEST(withAddress(address).has_value(), address);
+    for (const std::string address : { "", ":", ":80", "10.0.0.9", "10.0.0.9:", "10.0.0.9: 80",
+             " 10.0.0.9:80", "10.0.0.9:80 ", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9:65536",
+             "10.0.0.9:99999", "10.0.0.9:18446744073709551696", "10.0.0.9:80x", "10.0.0.9:80:80", "10.0.0:80",
+             "10.0.0.256:80", "localhost:80", "http://10.0.0.9:80", "0.0.0.0:80", "[::]:80", "224.0.0.1:80",
+             "[ff02::1]:80", "255.255.255.255:80" })
+        BOOST_TEST(!withAddress(address).has_value(), address);
+    BOOST_TEST(!withAddress(std::string(100'000, '1') + ":80").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(write_names_the_revision_that_it_replaces)
 {
     BOOST_TEST(platform::encodeWrite("versions", "node-1", 412)
