Numbers of the store are checked against the range of their type

An odd entry or configuration could hold a number that its type does not: a number of slots of 2^32 became 0, a time of 2^62 ms or a negative one was converted all the same, which is undefined and differs between arm64 and x86-64.

--- a/tests/auto/gateway/tst_gatewayknowledge.cpp
+++ b/tests/auto/gateway/tst_gatewayknowledge.cpp
@@ -3,6 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <sstream>
+#include <string>
+#include <vector>
 
 using platform_standin::store_mode;
 
@@ -64,6 +67,47 @@
     }));
 }
 
+// Guards against entries of another writer that end the node, keep it from following the list, or are chosen
+// for requests although nothing can be called there.
+BOOST_FIXTURE_TEST_CASE(odd_entries_name_no_replica, ready_testbed)
+{
+    const auto entry = [](const std::string& address, const std::string& slots, const std::string& coldMs) {
+        return R"({"backend":"press","address":")" + address
+            + R"(","zone":"a","resourceVersion":"v1","state":"ready","slots":)" + slots
+            + R"(,"coldRemainingMs":)" + coldMs + "}";
+    };
+    std::vector<std::string> entries { "{}", "[]", "null", std::string(100'000, '['),
+        R"({"backend":)" + std::string(100'000, '[') };
+    for (const std::string address : { "", ":80", "localhost:80", "127.0.0.1", "127.0.0.1: 80", "127.0.0.1:0",
+             "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:-1", "0.0.0.0:80" })
+        entries.push_back(entry(address, "8", "0"));
+    entries.push_back(entry(std::string(100'000, '1'), "8", "0"));
+    for (const std::string slots : { "1180591620717411303424", "4611686018427387904", "-1", "9e400" })
+        entries.push_back(entry("127.0.0.1:1", slots, "0"));
+    for (const std::string coldMs : { "4611686018427387904", "-9223372036854775808", "1e400", "1e300" })
+        entries.push_back(entry("127.0.0.1:1", "8", coldMs));
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        store().put("servers/odd-" + std::to_string(i), entries[i]);
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const std::string line = "\"server\":\"odd-" + std::to_string(i) + "\"";
+        BOOST_TEST(waitUntil([&] { return node(0).process->log().find(line) != std::string::npos; }), line);
+    }
+    for (int i = 0; i < 40; ++i)
+        BOOST_TEST(ask(node(0), question("GET", "/look/" + std::to_string(i))).status == 200);
+    std::istringstream log(node(0).process->log());
+    for (std::string line; std::getline(log, line);) {
+        const bool isOdd = line.find("\"odd-") != std::string::npos;
+        const bool isUnused = line.find("server_entry_unreadable") != std::string::npos
+            || line.find("\"state\":\"gone\"") != std::string::npos;
+        BOOST_TEST((!isOdd || isUnused), line);
+    }
+    BOOST_TEST(node(0).process->isRunning());
+    // The node still follows the list.
+    withdraw(press(0));
+    withdraw(press(1));
+    BOOST_TEST(waitUntil([&] { return ask(node(0), question("GET", "/look/1")).status == 503; }));
+}
+
 // A configuration removes a key, which is refused from then on. Neither an older version nor an unreadable
 // one brings it back.
 BOOST_FIXTURE_TEST_CASE(a_configuration_never_goes_back, gateway_testbed)
--- a/tests/auto/platform/tst_decoders.cpp
+++ b/tests/auto/platform/tst_decoders.cpp
@@ -176,6 +176,76 @@
     BOOST_TEST(!withAddress(std::string(100'000, '1') + ":80").has_value());
 }
 
+// Guards against a number that its type cannot hold: converted all the same, it is another one on each kind
+// of processor.
+BOOST_AUTO_TEST_CASE(entry_with_a_number_out_of_range_is_rejected)
+{
+    const std::string entry
+        = R"({"backend":"e","address":"10.0.0.9:80","zone":"a","resourceVersion":"v1","slots":64,"state":"ready","born":1700,"coldRemainingMs":2750})";
+    BOOST_TEST(serverOf(entry).has_value());
+    BOOST_TEST(serverOf(replaced(entry, "1700", "1700000000000"))->startedAtMs == 1'700'000'000'000U);
+    for (const std::string number : { "4294967296", "4611686018427387904", "18446744073709551616",
+             "1180591620717411303424", "-1", "-9223372036854775808", "1e400", "9e400", "64.5" })
+        BOOST_TEST(!serverOf(replaced(entry, "\"slots\":64", "\"slots\":" + number)).has_value(), number);
+    BOOST_TEST(serverOf(replaced(entry, "\"slots\":64", "\"slots\":4294967295")).has_value());
+    for (const std::string number :
+        { "4611686018427387904", "18446744073709551616", "1e300", "9e400", "-1", "-1e300" })
+        BOOST_TEST(!serverOf(replaced(entry, "2750", number)).has_value(), number);
+    BOOST_TEST(serverOf(replaced(entry, "2750", "86400000")).has_value());
+    for (const std::string number : { "-1", "1.5", "18446744073709551616", "1e400" })
+        BOOST_TEST(!serverOf(replaced(entry, "1700", number)).has_value(), number);
+}
+
+// Guards against a process that ends by an entry of another writer.
+BOOST_AUTO_TEST_CASE(entry_nested_too_deeply_is_rejected)
+{
+    constexpr std::size_t levels = 100'000;
+    for (const std::string open : { "[", "{\"a\":" }) {
+        std::string nested;
+        for (std::size_t i = 0; i < levels; ++i)
+            nested += open;
+        BOOST_TEST(!serverOf(nested).has_value());
+        BOOST_TEST(!serverOf(R"({"backend":)" + nested).has_value());
+        BOOST_TEST(problemOf(nested).find("JSON") != std::string::npos);
+        BOOST_TEST((platform::decodeRange(nested).range.status == gateway::store_status::Unreadable));
+        BOOST_TEST((platform::decodeChanges(nested).status == gateway::store_status::Unreadable));
+    }
+}
+
+// Guards against the same in a configuration.
+BOOST_AUTO_TEST_CASE(configuration_with_a_number_out_of_range_is_rejected)
+{
+    const std::vector<std::pair<std::string, std::string>> fields { { "\"timeoutMs\":12000", "timeoutMs" },
+        { "\"targetLatencyMs\":1000", "targetLatencyMs" }, { "\"gapAimMs\":500", "gapAimMs" },
+        { "\"maxAttempts\":2", "maxAttempts" }, { "\"weight\":90", "weight" }, { "\"slots\":64", "slots" },
+        { "\"kvCapacity\":498762", "kvCapacity" }, { "\"kvBytes\":18432", "kvBytes" },
+        { "\"linkMbps\":130000.0", "linkMbps" }, { "\"coldStartS\":3.5", "coldStartS" },
+        { "\"coldPerS\":8.7", "coldPerS" }, { "\"idleTimeoutMs\":15000", "idleTimeoutMs" },
+        { "\"priority\":1", "priority" } };
+    for (const auto& [text, name] : fields) {
+        for (const std::string number : { "-1", "1e300", "9e400" }) {
+            const bool isQuantity = name == "kvBytes" || name == "linkMbps" || name == "coldPerS";
+            if (isQuantity && number == "1e300")
+                continue; // a number that its type holds
+            const std::string field = text.substr(0, text.find(':') + 1).append(number);
+            BOOST_TEST(!problemOf(replaced(document, text, field)).empty(), field);
+        }
+    }
+}
+
+// Guards against a limit on requests that turns into a small one, so that all requests are refused.
+BOOST_AUTO_TEST_CASE(greatest_limits_stay_limits)
+{
+    const std::string number = "18446744073709551615";
+    const std::string limits = R"({"maxHeaderBytes":)" + number + R"(,"maxBodyBytes":)" + number + "}";
+    const std::string text = replaced(document, R"({"maxHeaderBytes":16384,"idleTimeoutMs":15000})", limits);
+    const auto configuration = utils::valueOr([&] { return platform::decodeConfiguration(text); },
+        [](const utils::failure&) { return catalogue::configuration_ptr(); });
+    BOOST_REQUIRE(configuration);
+    BOOST_TEST(configuration->limits.headerBytes == 1U << 30U);
+    BOOST_TEST(configuration->limits.bodyBytes == 1U << 30U);
+}
+
 BOOST_AUTO_TEST_CASE(write_names_the_revision_that_it_replaces)
 {
     BOOST_TEST(platform::encodeWrite("versions", "node-1", 412)
