--- a/src/libs/gateway/servers/httpconnection.h
+++ b/src/libs/gateway/servers/httpconnection.h
@@ -79,9 +79,9 @@
 private:
     boost::asio::awaitable<error_code> receive();
     /// Ends the response where the other side has ended the connection. Fails if the response is incomplete.
-    /// A response without a length is, too, if the connection fails while the request is still being sent:
-    /// its end may be that of a process that has died. If it neither fails nor takes the request, the
-    /// response counts as complete after a while.
+    /// A response without a length is incomplete if the connection fails while the request is still being
+    /// sent: then its end may be that of a process that has died. If the connection neither fails nor takes
+    /// the rest of the request, the response counts as complete after a while.
     boost::asio::awaitable<error_code> endResponse();
     void startResponse();
 
