Test of a reset under the upload of an answer too large to buffer

Guards the other path of the same fault: the caller has a part of the answer already, and the reset must show as an answer without its end.

--- a/tests/auto/gateway/tst_brokenanswers.cpp
+++ b/tests/auto/gateway/tst_brokenanswers.cpp
@@ -187,6 +187,16 @@
     }
 }
 
+// Guards against the same in an answer of which the caller has a part already, since it is too large to be
+// buffered.
+BOOST_FIXTURE_TEST_CASE(reset_during_an_upload_cuts_a_large_answer, broken_answer_testbed)
+{
+    constexpr std::size_t size = 600'000; // bytes; above what a node buffers
+    const raw_answer answer { joined({ "HTTP/1.1 200 OK\r\n", signature, "\r\n", std::string(size, 'x') }),
+        true, raw_end::Reset, 150ms };
+    BOOST_TEST(successes(answer, longUpload) == 0U);
+}
+
 // Guards against a whole answer that is dropped because it came before the end of the upload.
 BOOST_FIXTURE_TEST_CASE(early_answer_that_ends_with_its_connection_is_whole, broken_answer_testbed)
 {
