--- a/src/libs/gateway/servers/httpconnection.cpp
+++ b/src/libs/gateway/servers/httpconnection.cpp
@@ -35,7 +35,6 @@
 constexpr utils::duration resetTime = std::chrono::seconds(1);
 // The answer that is waited for comes behind the skipped one, so there is more patience with that.
 constexpr discard_limits skipLimits { 1'048'576, std::chrono::seconds(5) };
-constexpr unsigned firstFinalStatus = 200;
 
 /// The bytes that startWrite() sends; kept until the kernel has taken them.
 struct outgoing_bytes {
@@ -107,7 +106,7 @@
         if (m_parser->is_header_done()) {
             if (const error_code headFault = utils::checkResponseHead(head()))
                 co_return headFault;
-            if (m_parser->get().result_int() >= firstFinalStatus)
+            if (!utils::isInterim(head()))
                 co_return error_code();
             if (++interimResponses > maxInterimResponses)
                 co_return http::make_error_code(http::error::header_limit);
--- a/src/libs/keyvalue/kvconnection.cpp
+++ b/src/libs/keyvalue/kvconnection.cpp
@@ -20,8 +20,6 @@
 
 /// Large enough for a range read over all sections of a configuration, which is one answer.
 constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
-/// Responses below are interim ones, which no request of this client asks for.
-constexpr unsigned firstFinalStatus = 200;
 
 std::string hostText(const asio::ip::tcp::endpoint& endpoint)
 {
@@ -72,7 +70,8 @@
     co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
     if (!code)
         code = utils::checkResponseHead(parser.get());
-    if (!code && parser.get().result_int() < firstFinalStatus)
+    // No request of this client asks for an interim response.
+    if (!code && utils::isInterim(parser.get()))
         code = http::make_error_code(http::error::bad_status);
     if (code)
         co_return kv_http_answer { kv_status::Unknown, 0, {}, "answer: " + code.message() };
--- a/src/libs/serving/backendexchange.cpp
+++ b/src/libs/serving/backendexchange.cpp
@@ -21,11 +21,6 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned maxInterimResponses = 16;
 
-bool isInterim(unsigned status)
-{
-    return http::to_status_class(status) == http::status_class::informational;
-}
-
 } // namespace
 
 /// Closes the connection after a silence. Holds its own share, so that a late timer finds it alive.
@@ -121,7 +116,7 @@
             fail(error);
             co_return std::nullopt;
         }
-        if (!isInterim(m_parser->get().result_int()))
+        if (!utils::isInterim(m_parser->get()))
             break;
         startResponse();
     }
--- a/src/libs/utils/responsehead.h
+++ b/src/libs/utils/responsehead.h
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/system/error_code.hpp>
 
 namespace utils {
@@ -11,4 +12,11 @@
 /// coding than chunked: it would be forwarded with that coding, or with the heads of its chunks. Thread safe.
 boost::system::error_code checkResponseHead(const boost::beast::http::response_header<>& head);
 
+/// Whether a final response to the same request follows. Thread safe.
+inline bool isInterim(const boost::beast::http::response_header<>& head)
+{
+    return boost::beast::http::to_status_class(head.result_int())
+        == boost::beast::http::status_class::informational;
+}
+
 } // namespace utils
