--- a/tests/auto/gateway/tst_httpconnection.cpp
+++ b/tests/auto/gateway/tst_httpconnection.cpp
@@ -286,6 +286,13 @@
                 joined({ "HTTP/1.1 200 OK\r\n", before, line, "\r\nServer: s\r\n\r\nwhole" }));
             BOOST_TEST((error.category() == boost::beast::http::make_error_code({}).category()), line);
         }
+        full_connection chunked;
+        const std::string body = joined(
+            { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", line, "\r\n\r\n" });
+        boost::system::error_code trailerError = chunked.readHead(body);
+        if (!trailerError)
+            trailerError = chunked.await(chunked.readToEnd());
+        BOOST_TEST(trailerError.failed(), "trailer " << line);
     }
 }
 
